--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,685 @@
+// Package balance decides for one marshal: where each invocation goes, when it goes again, when it is
+// throttled or terminated, and how the marshal votes on the build on trial.
+//
+// A Balancer is called, from one goroutine, once for each thing that happens (the exported methods below) and
+// acts by calling the Host it was given, whose interface and plain types are in host.go; state.go holds the
+// state. The design it follows is Posterior Bayesian Routing, docs/design.md; its settings, docs/settings.md.
+package balance
+
+import (
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"arrowcleat/internal/pcg"
+)
+
+const (
+	interval   = 500.0  // ms between two settings of the trial share
+	draws      = 100    // draws of the posteriors each interval
+	confidence = 0.95   // what a chance has to reach for a verdict
+	leastJudge = 20.0   // outcomes of the trial build before it is judged
+	slower     = 1.15   // the latency at which a build still counts as keeping up
+	pointsOn   = 0.01   // success a build may trail by and still go on
+	pointsBack = 0.02   // success it must trail by to go back
+	blindAfter = 4000.0 // ms of a stage without verdict until it is voted on
+	readyAge   = 5000.0 // ms since its start until a node's outcomes are evidence
+	margin     = 10.0   // ms kept before a client's own time is up
+)
+
+// The handles of the instance's timers.
+const (
+	wakeInterval = iota
+	wakeHeld
+	wakeWatch
+)
+
+// New starts an instance.
+func New(h Host, settings Settings, seed uint64) *Balancer {
+	b := &Balancer{h: h, set: settings, ops: settings.parts("operations"), rnd: rand.New(pcg.New(seed)),
+		nodes: map[uint32]*node{}, invs: map[string]*invocation{}, begun: h.Now(), taken: map[int]*sliding{},
+		exposed: map[exposure]*sliding{}, bound: map[string]int{}, posteriors: map[int][]posterior{}}
+	b.recent = make([]float64, len(b.ops))
+	if settings.text("discovery", "subscribe") == "subscribe" {
+		h.Watch(true)
+	}
+	h.Wake(interval, wakeInterval)
+	return b
+}
+
+// Listed brings the list of nodes, or what has changed of it.
+func (b *Balancer) Listed(whole bool, list []Node) {
+	now := b.h.Now()
+	named := map[uint32]bool{}
+	for _, l := range list {
+		named[l.ID] = true
+		n := b.nodes[l.ID]
+		if n == nil {
+			n = &node{told: now}
+			b.nodes[l.ID] = n
+			i, _ := slices.BinarySearchFunc(b.order, l.ID, func(o *node, id uint32) int {
+				return int(int64(o.ID) - int64(id))
+			})
+			n.Node = l
+			b.order = slices.Insert(b.order, i, n)
+			continue
+		}
+		if n.Started != l.Started || n.Ver != l.Ver { // another process, perhaps another machine
+			n.good, n.bad, n.latency, n.retest, n.answered = 0, 0, 0, 0, now
+		}
+		n.Node, n.told = l, now
+	}
+	if whole {
+		for _, n := range b.order {
+			if !named[n.ID] {
+				n.Health = Gone
+			}
+		}
+	}
+}
+
+// ListFailed says that asking for the list failed or a watch has ended, without saying which.
+func (b *Balancer) ListFailed() {
+	if !b.watchDue {
+		b.watchDue = true
+		b.h.Wake(1000+2000*b.rnd.Float64(), wakeWatch)
+	}
+}
+
+// Staged tells where the newest build stands; reply says that it answers this instance's vote.
+func (b *Balancer) Staged(ver, stage int, phase Phase, cap, age float64, reply bool) {
+	now := b.h.Now()
+	if reply {
+		b.voteOut = false
+		b.voteUntil = now + b.set.num("rollout.vote-ttl-ms", 0)*0.9
+	}
+	if ver < b.ver {
+		return
+	}
+	if ver > b.ver || !b.announced {
+		b.share = 0
+	}
+	if phase != OnTrial && phase != Released {
+		clear(b.bound)
+	}
+	b.ver, b.stage, b.phase, b.cap, b.announced = ver, stage, phase, cap, true
+	b.stageSince = now - age
+}
+
+// VoteFailed says how a vote ended that was not answered.
+func (b *Balancer) VoteFailed(ending Ending) {
+	b.voteOut = false
+	now := b.h.Now()
+	if ending == TimedOut { // it may count, so it is taken to stand for a while
+		b.voteUntil = now + b.set.num("rollout.vote-ttl-ms", 0)/2
+		return
+	}
+	b.vote, b.voteNext = NoVote, now+1000
+}
+
+// onTrial says whether a build is on trial for this instance.
+func (b *Balancer) onTrial(ver int) bool {
+	if !b.announced { // nothing told yet: all but the oldest build listed may be on trial
+		for _, n := range b.order {
+			if n.Health == Serving && n.Ver < ver {
+				return true
+			}
+		}
+		return false
+	}
+	return ver > b.ver || ver == b.ver && b.phase != Released
+}
+
+// Arrived takes an invocation: from here on it is owed one final answer within budget.
+func (b *Balancer) Arrived(id string, op, tenant int, key string, budget, cost float64, retry, write bool) {
+	now := b.h.Now()
+	inv := &invocation{id: id, op: op, tenant: tenant, key: key, came: now, due: now + budget, cost: cost}
+	b.invs[id] = inv
+	b.count(b.takenBy(-1), now)
+	b.count(b.takenBy(op), now)
+	if b.overloaded(inv) {
+		b.giveUp(inv)
+		return
+	}
+	b.send(inv)
+}
+
+func (b *Balancer) takenBy(op int) *sliding {
+	if b.taken[op] == nil {
+		b.taken[op] = &sliding{}
+	}
+	return b.taken[op]
+}
+
+func (b *Balancer) count(s *sliding, now float64) {
+	s.since(now - b.set.num("rollout.counted-over-ms", 0))
+	s.add(now, 1)
+}
+
+// send is the ordinary path of an invocation, from the choice of its build to its dispatch.
+func (b *Balancer) send(inv *invocation) {
+	now := b.h.Now()
+	left := inv.due - now
+	if left <= margin || len(inv.sent) >= int(b.set.num("limits.most-tries", 1)) {
+		b.giveUp(inv)
+		return
+	}
+
+	// Which nodes may have it: the list, the repeat rules, the cold nodes' budget, the cap.
+	var trial, earlier []*node
+	for _, n := range b.order {
+		if n.Health != Serving || !b.mayRepeat(inv, n, now) || b.tooCold(n, inv.cost, now) {
+			continue
+		}
+		if b.onTrial(n.Ver) {
+			if b.mayExpose(n.Ver, inv.op, now) {
+				trial = append(trial, n)
+			}
+		} else if b.bound[inv.key] <= n.Ver || inv.key == "" {
+			earlier = append(earlier, n)
+		}
+	}
+
+	// The build on trial gets its share of first dispatches.
+	pool := earlier
+	if len(trial) > 0 && (len(earlier) == 0 || len(inv.sent) == 0 && b.draw(inv) < b.share) {
+		pool = trial
+	}
+	if len(pool) == 0 {
+		b.hold(inv, now)
+		return
+	}
+	pool = b.healthy(pool, now)
+	pool = b.nearby(pool)
+
+	// Two random choices by what is in flight.
+	n := pool[b.rnd.IntN(len(pool))]
+	if len(pool) > 1 {
+		o := pool[b.rnd.IntN(len(pool)-1)]
+		if o == n {
+			o = pool[len(pool)-1]
+		}
+		if b.load(o) < b.load(n) {
+			n = o
+		}
+	}
+
+	limit := b.patience(inv, left)
+	slo := b.ops[inv.op].num("slo-ms", 0)
+	inv.sent = append(inv.sent, dispatch{to: n, ver: n.Ver, sent: now, young: b.young(n, now),
+		short: limit < slo/2, open: true, ran: true})
+	n.inflight++
+	n.open = append(n.open, opening{inv, len(inv.sent) - 1})
+	if b.onTrial(n.Ver) {
+		for _, e := range []exposure{{n.Ver, -1}, {n.Ver, inv.op}} {
+			if b.exposed[e] == nil {
+				b.exposed[e] = &sliding{}
+			}
+			b.exposed[e].add(now, 1)
+		}
+	}
+	if b.cold(n, now) < 1 {
+		n.pushed.add(now, b.weigh(inv.cost))
+	}
+	b.h.Dispatch(inv.id, n.ID, limit)
+}
+
+// draw places an invocation between 0 and 1 for the choice of its build: by its key where keys may only go
+// forward or are served faster where they were met before, so that the same keys make up the share.
+func (b *Balancer) draw(inv *invocation) float64 {
+	if inv.key == "" || !b.set.is("rollout.forward-only") {
+		return b.rnd.Float64()
+	}
+	if b.bound[inv.key] >= b.ver {
+		return -1
+	}
+	h := fnv.New32a()
+	h.Write([]byte(inv.key))
+	return float64(h.Sum32()) / (1 << 32)
+}
+
+// mayRepeat keeps the rule against double effects.
+func (b *Balancer) mayRepeat(inv *invocation, n *node, now float64) bool {
+	op := b.ops[inv.op]
+	for _, d := range inv.sent {
+		if d.open && !b.set.is("limits.second-copies") {
+			return false
+		}
+		if !d.ran || op.text("repeat", "") == "idempotent" {
+			continue
+		}
+		if op.text("repeat", "") != "fingerprinted" || now >= d.sent+op.num("memory-ms", 0) {
+			return false
+		}
+		switch op.text("group", "") {
+		case "all":
+		case "zone":
+			if n.Zone != d.to.Zone {
+				return false
+			}
+		case "cell":
+			if n.Cell != d.to.Cell || n.Zone != d.to.Zone {
+				return false
+			}
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// mayExpose keeps the rule on a trial build's exposure.
+func (b *Balancer) mayExpose(ver, op int, now float64) bool {
+	stage, cap := b.stage, b.cap
+	if ver != b.ver || !b.announced {
+		stage, cap = 0, 0
+		if caps := b.set.nums("rollout.most-shares"); len(caps) > 0 {
+			cap = caps[0]
+		}
+	}
+	if cap <= 0 || float64(stage) < b.set.num("rollout.shielded", math.Inf(1)) &&
+		b.ops[op].text("repeat", "") != "idempotent" {
+		return false
+	}
+	over := b.set.num("rollout.counted-over-ms", 0)
+	scope := -1
+	if b.set.text("rollout.cap-scope", "each_class") == "each_class" {
+		scope = op
+	}
+	free := b.set.num("rollout.allowance", 0)
+	if now-b.begun < over { // an instance that was here before may have used its allowance up
+		free = 0
+	}
+	used := 0.0
+	if s := b.exposed[exposure{ver, scope}]; s != nil {
+		used = s.since(now - over - margin)
+	}
+	return used+1 <= free+cap*b.takenBy(scope).since(now-over+margin)
+}
+
+// cold is the share of its capacity that a node may count on by now.
+func (b *Balancer) cold(n *node, now float64) float64 {
+	from := b.set.num("rules.cold-from", 0.1)
+	if n.Started <= 0 {
+		return 1
+	}
+	return min(1, from+(1-from)*max(0, now-n.Started)/b.set.num("rules.warm-up-ms", 10000))
+}
+
+func (b *Balancer) young(n *node, now float64) bool { return n.Started > 0 && now-n.Started < readyAge }
+
+func (b *Balancer) weigh(cost float64) float64 {
+	if cost > 0 {
+		return cost
+	}
+	return 1
+}
+
+// tooCold keeps a starting node from being pushed over: what this marshal sends it within the rule's window
+// stays under the multiple of what a warm node does for this marshal, so the marshals together stay under it.
+func (b *Balancer) tooCold(n *node, cost, now float64) bool {
+	part := b.cold(n, now)
+	if part >= 1 {
+		return false
+	}
+	over := b.set.num("rules.fall-ms", 2000)
+	room := 0.7 * b.set.num("rules.fall-multiple", 1) * part * over * b.served
+	return n.pushed.since(now-over)+b.weigh(cost)/2 > room
+}
+
+// load is what is in flight at a node against its size.
+func (b *Balancer) load(n *node) float64 { return float64(n.inflight+1) / max(n.Size, 0.01) }
+
+// healthy leaves out nodes that fail more than the fleet's median or do not answer; it fails open.
+func (b *Balancer) healthy(pool []*node, now float64) []*node {
+	if len(pool) < 2 {
+		return pool
+	}
+	shares := make([]float64, len(pool))
+	for i, n := range pool {
+		shares[i] = (n.bad + 0.1) / (n.good + n.bad + 1)
+	}
+	sorted := slices.Sorted(slices.Values(shares))
+	median := sorted[(len(sorted)-1)/2]
+	var well []*node
+	for i, n := range pool {
+		if (shares[i] < median+0.3 || now >= n.retest) && !b.silent(n, now) {
+			well = append(well, n)
+		}
+	}
+	if len(well)*2 < len(pool) {
+		return pool
+	}
+	return well
+}
+
+// silent says that a node has answered nothing since its oldest dispatch went out, for too long.
+func (b *Balancer) silent(n *node, now float64) bool {
+	if len(n.open) == 0 {
+		return false
+	}
+	o := n.open[0]
+	since := max(n.answered, o.inv.sent[o.no].sent)
+	return now-since > max(b.ops[o.inv.op].num("slo-ms", 0)/2, 3*b.recent[o.inv.op])
+}
+
+// nearby keeps to the own zone where crossing has a price, unless nothing there is free.
+func (b *Balancer) nearby(pool []*node) []*node {
+	if b.set.num("prices.cross-zone", 0) <= 0 {
+		return pool
+	}
+	zone := int(b.set.num("zone", 0))
+	var near []*node
+	least, leastNear := math.Inf(1), math.Inf(1)
+	for _, n := range pool {
+		least = min(least, b.load(n))
+		if n.Zone == zone {
+			near = append(near, n)
+			leastNear = min(leastNear, b.load(n))
+		}
+	}
+	if len(near) == 0 || leastNear > least+2 {
+		return pool
+	}
+	return near
+}
+
+// patience is a dispatch's time limit: all that is left, less where another try could still help.
+func (b *Balancer) patience(inv *invocation, left float64) float64 {
+	op := b.ops[inv.op]
+	usual := max(b.recent[inv.op]*4, op.num("slo-ms", 0)*0.6)
+	if op.text("repeat", "") == "side-effecting" || left < usual*1.5 {
+		return left
+	}
+	return usual
+}
+
+// overloaded says that the fleet is too slow for this invocation to be answered in time.
+func (b *Balancer) overloaded(inv *invocation) bool {
+	slo := b.ops[inv.op].num("slo-ms", 0)
+	x := b.recent[inv.op] / slo
+	return x > 0.8 && b.rnd.Float64() < min(0.5, (x-0.8)*2)
+}
+
+// hold keeps an invocation that can be sent nowhere now, as long as it could still be answered in time.
+func (b *Balancer) hold(inv *invocation, now float64) {
+	for _, d := range inv.sent {
+		if d.open {
+			return
+		}
+	}
+	until := min(inv.due-margin, inv.came+b.ops[inv.op].num("slo-ms", 0)-b.recent[inv.op])
+	if now >= until {
+		b.giveUp(inv)
+		return
+	}
+	if !inv.held {
+		inv.held = true
+		b.held = append(b.held, inv)
+		if len(b.held) == 1 {
+			b.h.Wake(20, wakeHeld)
+		}
+	}
+}
+
+// giveUp gives the final answer of an invocation that will get no further dispatch.
+func (b *Balancer) giveUp(inv *invocation) {
+	op := b.ops[inv.op]
+	harmless := op.text("repeat", "") == "idempotent" ||
+		op.text("repeat", "") == "fingerprinted" && op.text("group", "") == "all"
+	ran := false
+	for _, d := range inv.sent {
+		ran = ran || d.ran
+	}
+	b.finish(inv)
+	if !ran || harmless {
+		b.h.Throttle(inv.id, 200)
+	} else {
+		b.h.Terminate(inv.id)
+	}
+}
+
+// finish marks an invocation as answered; it is forgotten once its last dispatch has ended.
+func (b *Balancer) finish(inv *invocation) {
+	inv.finished = true
+	for _, d := range inv.sent {
+		if d.open {
+			return
+		}
+	}
+	delete(b.invs, inv.id)
+}
+
+// Lapsed says that the client of an invocation is gone.
+func (b *Balancer) Lapsed(id string) {
+	if inv := b.invs[id]; inv != nil {
+		b.finish(inv)
+	}
+}
+
+// Began says that a streamed answer has started; the dispatch is the client's from here on.
+func (b *Balancer) Began(id string, no int, id2 uint32, took float64) {}
+
+// Ended says how a dispatch ended; done, that its invocation has its final answer.
+func (b *Balancer) Ended(id string, no int, _ uint32, how Ending, took float64, done bool,
+	report map[string]float64) {
+	inv := b.invs[id]
+	if inv == nil || no >= len(inv.sent) || !inv.sent[no].open {
+		return
+	}
+	now := b.h.Now()
+	d := &inv.sent[no]
+	d.open, d.ran = false, how != Full && how != NoConnect && how != Ignored
+	n := d.to
+	n.inflight--
+	n.open = slices.DeleteFunc(n.open, func(o opening) bool { return o.inv == inv && o.no == no })
+	b.learn(inv, d, how, took, now)
+	if done || inv.finished {
+		b.finish(inv)
+		return
+	}
+	b.send(inv)
+}
+
+// learn takes an outcome as evidence on the node, the build and the fleet.
+func (b *Balancer) learn(inv *invocation, d *dispatch, how Ending, took, now float64) {
+	n := d.to
+	if how != TimedOut && how != NoConnect && how != Ignored && how != Canceled {
+		n.answered = now
+	}
+	failed := how == Failed || how == TimedOut && !d.short || how == Reset
+	if failed || how == NoConnect {
+		n.bad = n.bad*0.9 + 1
+		n.good *= 0.9
+		n.retest = now + 2000
+	} else if how == Succeeded {
+		n.good, n.bad = n.good*0.9+1, n.bad*0.9
+		b.recent[inv.op] += (took - b.recent[inv.op]) * 0.05
+		b.work.add(now, b.weigh(inv.cost))
+		if b.bound[inv.key] < d.ver && inv.key != "" && b.set.is("rollout.forward-only") && b.onTrial(d.ver) {
+			b.bound[inv.key] = d.ver
+		}
+	}
+	if d.young || !failed && how != Succeeded {
+		return
+	}
+	p := &b.posterior(d.ver)[inv.op]
+	if failed {
+		p.bad++
+		return
+	}
+	p.good++
+	p.took(took)
+}
+
+func (b *Balancer) posterior(ver int) []posterior {
+	if b.posteriors[ver] == nil {
+		b.posteriors[ver] = make([]posterior, len(b.ops))
+	}
+	return b.posteriors[ver]
+}
+
+// Woke is a timer's end.
+func (b *Balancer) Woke(handle int64) {
+	switch handle {
+	case wakeInterval:
+		b.h.Wake(interval, wakeInterval)
+		b.measure()
+		b.setShare()
+		b.judge()
+	case wakeHeld:
+		waiting := b.held
+		b.held = nil
+		for _, inv := range waiting {
+			inv.held = false
+			if !inv.finished {
+				b.send(inv)
+			}
+		}
+	case wakeWatch:
+		b.watchDue = false
+		b.h.Watch(true)
+	}
+}
+
+// measure finds what a warm node does for this marshal.
+func (b *Balancer) measure() {
+	now := b.h.Now()
+	const over = 5000
+	warm := 0.0
+	for _, n := range b.order {
+		if n.Health == Serving && b.cold(n, now) >= 1 {
+			warm++
+		}
+	}
+	b.served = b.work.since(now-over) / min(over, max(now-b.begun, interval)) / max(warm, 1)
+}
+
+// setShare sets the trial build's share for the next interval: its full cap if feasible, else the feasible
+// fraction of the draws; at most doubling, and not below its share of the ready nodes.
+func (b *Balancer) setShare() {
+	trial, all := 0.0, 0.0
+	for _, n := range b.order {
+		if n.Health == Serving {
+			all++
+			if b.onTrial(n.Ver) {
+				trial++
+			}
+		}
+	}
+	if all == 0 {
+		return
+	}
+	feasible := 0.0
+	for range draws {
+		within := 1.0
+		for op, p := range b.posterior(b.ver) {
+			if p.n >= 2 && p.mean+b.rnd.NormFloat64()*math.Sqrt(p.variance()/p.n) > b.ops[op].num("slo-ms", 0) {
+				within = 0
+			}
+		}
+		feasible += within / draws
+	}
+	target := b.cap
+	if feasible < 0.5 {
+		target *= feasible
+	}
+	b.share = max(min(target, 2*b.share), trial/all)
+}
+
+// judge votes on the newest build.
+func (b *Balancer) judge() {
+	if !b.announced || b.phase == GoingBack || b.phase == Withdrawn {
+		return
+	}
+	now := b.h.Now()
+	fine, worse, n, bad := b.compare()
+	standing := b.vote == Back && b.voteVer == b.ver && now < b.voteUntil
+	switch {
+	case n >= leastJudge && worse >= confidence:
+		b.cast(Back, now)
+	case b.set.text("rollout.gate-mode", "") == "clock":
+		if n >= leastJudge && bad > 0 && worse > 0.5 {
+			b.cast(Hold, now)
+		}
+	case b.phase != OnTrial:
+	case n >= leastJudge && fine >= confidence, now-b.stageSince >= blindAfter && !standing:
+		b.cast(On, now)
+	}
+}
+
+// compare gives the chances that the newest build keeps up with the earlier one and that it is worse, over
+// all operations the least of the one and the greatest of the other, and its outcomes and failures.
+func (b *Balancer) compare() (fine, worse, n, bad float64) {
+	before := -1
+	for _, o := range b.order {
+		if o.Ver < b.ver && o.Ver > before {
+			before = o.Ver
+		}
+	}
+	for ver := range b.posteriors {
+		if ver < b.ver && ver > before {
+			before = ver
+		}
+	}
+	if before < 0 {
+		return 0, 0, 0, 0
+	}
+	fine = 1
+	now, then := b.posterior(b.ver), b.posterior(before)
+	for op := range b.ops {
+		n += now[op].good + now[op].bad
+		bad += now[op].bad
+	}
+	if n < leastJudge {
+		return 0, 0, n, bad
+	}
+	for op := range b.ops {
+		p, q := now[op], then[op]
+		new := distuv.Beta{Alpha: 1 + p.good, Beta: 1 + p.bad, Src: b.rnd}
+		old := distuv.Beta{Alpha: 1 + q.good, Beta: 1 + q.bad, Src: b.rnd}
+		var keeps, trails float64
+		for range draws {
+			s, t := new.Rand(), old.Rand()
+			if s < t-pointsBack {
+				trails++
+			}
+			l := p.mean + b.rnd.NormFloat64()*math.Sqrt(p.variance()/max(p.n, 1))
+			m := q.mean + b.rnd.NormFloat64()*math.Sqrt(q.variance()/max(q.n, 1))
+			if s >= t-pointsOn && l <= slower*m {
+				keeps++
+			}
+		}
+		fine = min(fine, keeps/draws)
+		if p.good+p.bad >= leastJudge {
+			worse = max(worse, trails/draws)
+		}
+	}
+	return fine, worse, n, bad
+}
+
+// cast votes on a change or when the vote has lapsed, paced within the platform's allowance.
+func (b *Balancer) cast(v Verdict, now float64) {
+	same := b.vote == v && b.voteVer == b.ver && (v == Back || b.voteStage == b.stage)
+	if b.voteOut || now < b.voteNext || same && now < b.voteUntil {
+		return
+	}
+	pace := 2000 * b.set.num("marshals", 1) / max(b.set.num("rollout.api-rate", 1), 0.1)
+	b.vote, b.voteVer, b.voteStage, b.voteOut, b.voteNext = v, b.ver, b.stage, true, now+max(pace, interval)
+	b.h.Vote(b.ver, b.stage, v)
+}
+
+// Probed tells what a probe found.
+func (b *Balancer) Probed(id uint32, how Ending, took float64, report map[string]float64) {}
+
+// Tallied tells what the platform counted for a build and operation.
+func (b *Balancer) Tallied(ver, op, samples, errors int, mean, age float64) {}
+
+// Flagged says that a client found an answer wrong.
+func (b *Balancer) Flagged(id uint32, op int, age float64) {}
+
+// Told brings a peer's message.
+func (b *Balancer) Told(from int, text string) {}
--- /dev/null
+++ b/balance/state.go
@@ -0,0 +1,169 @@
+package balance
+
+import "math/rand/v2"
+
+// State by how long it lives, and the plain helpers it needs. Nothing here decides.
+
+// Balancer is one marshal's instance; all of its state dies with it.
+type Balancer struct {
+	h     Host
+	set   Settings
+	ops   []Settings
+	rnd   *rand.Rand
+	nodes map[uint32]*node
+	order []*node // by id, so that nothing hangs on map order
+	invs  map[string]*invocation
+	held  []*invocation
+	begun float64
+
+	ver        int // the newest build told of, its stage, phase, cap and when that began
+	stage      int
+	phase      Phase
+	cap        float64
+	stageSince float64
+	announced  bool
+	share      float64 // of invocations that go to the trial build
+	taken      map[int]*sliding
+	exposed    map[exposure]*sliding
+	bound      map[string]int // the newest build that has answered a key
+	boundVer   int
+
+	posteriors map[int][]posterior // by build, one for each operation
+	served     float64             // work a warm node does for this marshal, a ms
+	recent     []float64           // latency of each operation on the whole fleet, fading
+	work       sliding
+
+	vote      Verdict // the vote that stands or is on its way
+	voteVer   int
+	voteStage int
+	voteUntil float64
+	voteNext  float64
+	voteOut   bool
+	watchDue  bool
+}
+
+// dispatch is one sending of an invocation.
+type dispatch struct {
+	to    *node
+	ver   int // the build the node ran when it was sent
+	sent  float64
+	young bool // the node was too young to give evidence
+	short bool // its time limit was cut below the SLO time
+	open  bool
+	ran   bool // it may have run (true while it is open)
+}
+
+// invocation lives from its arrival until it is answered and its last dispatch has ended.
+type invocation struct {
+	id       string
+	op       int
+	tenant   int
+	key      string
+	came     float64
+	due      float64 // when the client gives up
+	cost     float64
+	sent     []dispatch
+	finished bool
+	held     bool
+}
+
+// node lives as long as the instance knows its id; it starts over when its process does.
+type node struct {
+	Node
+	told     float64 // when the list last said something new of it
+	inflight int
+	open     []opening // what is out, oldest first
+	answered float64   // when it last answered anything
+	good     float64   // recent outcomes, fading
+	bad      float64
+	latency  float64 // recent latency over what its operation takes on the fleet
+	pushed   sliding // work sent while cold
+	retest   float64 // when a sick node is next tried
+}
+
+// opening is a dispatch that is out, as its node sees it.
+type opening struct {
+	inv *invocation
+	no  int
+}
+
+// posterior is what is known of one build at one operation.
+type posterior struct {
+	good, bad        float64
+	n, mean, squares float64 // latency: Welford's running mean and sum of squares
+}
+
+func (p *posterior) took(ms float64) {
+	p.n++
+	d := ms - p.mean
+	p.mean += d / p.n
+	p.squares += d * (ms - p.mean)
+}
+
+func (p *posterior) variance() float64 {
+	if p.n < 2 {
+		return 0
+	}
+	return p.squares / (p.n - 1)
+}
+
+// sliding adds up what happened within a window that slides.
+type sliding struct {
+	at   []float64
+	what []float64
+	sum  float64
+	head int
+}
+
+func (s *sliding) add(now, what float64) {
+	s.at, s.what = append(s.at, now), append(s.what, what)
+	s.sum += what
+}
+
+// since drops all that is older than from and gives the sum of the rest.
+func (s *sliding) since(from float64) float64 {
+	for s.head < len(s.at) && s.at[s.head] < from {
+		s.sum -= s.what[s.head]
+		s.head++
+	}
+	if s.head == len(s.at) {
+		s.at, s.what, s.head, s.sum = s.at[:0], s.what[:0], 0, 0
+	} else if s.head > 256 && s.head*2 > len(s.at) {
+		s.at = append(s.at[:0], s.at[s.head:]...)
+		s.what = append(s.what[:0], s.what[s.head:]...)
+		s.head = 0
+	}
+	return s.sum
+}
+
+// exposure is what one build, or one operation at it, was sent within the rule's window.
+type exposure struct{ ver, op int }
+
+func (s Settings) num(name string, absent float64) float64 {
+	if v, ok := s[name].(float64); ok {
+		return v
+	}
+	return absent
+}
+
+func (s Settings) text(name, absent string) string {
+	if v, ok := s[name].(string); ok {
+		return v
+	}
+	return absent
+}
+
+func (s Settings) is(name string) bool {
+	v, _ := s[name].(bool)
+	return v
+}
+
+func (s Settings) nums(name string) []float64 {
+	v, _ := s[name].([]float64)
+	return v
+}
+
+func (s Settings) parts(name string) []Settings {
+	v, _ := s[name].([]Settings)
+	return v
+}
--- /dev/null
+++ b/internal/simwire/read.go
@@ -0,0 +1,216 @@
+package simwire
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/tidwall/gjson"
+
+	"arrowcleat/balance"
+)
+
+// event reads the fields of one object; a field that is missing or of a wrong type is a fault.
+type event struct{ gjson.Result }
+
+func (e event) must(name string, t gjson.Type, what string) gjson.Result {
+	v := e.Get(name)
+	if !v.Exists() || v.Type == gjson.Null {
+		panic(fault("field " + name + ": missing"))
+	}
+	if v.Type != t {
+		panic(fault("field " + name + ": not " + what))
+	}
+	return v
+}
+
+func (e event) has(name string) bool {
+	v := e.Get(name)
+	return v.Exists() && v.Type != gjson.Null
+}
+
+func (e event) text(name string) string { return e.must(name, gjson.String, "a string").Str }
+func (e event) num(name string) float64 { return e.must(name, gjson.Number, "a number").Num }
+func (e event) ms(name string) float64  { return e.num(name) * 1000 }
+
+func (e event) int64(name string) int64 {
+	v, err := strconv.ParseInt(e.must(name, gjson.Number, "a whole number").Raw, 10, 64)
+	if err != nil {
+		panic(fault("field " + name + ": not a whole number"))
+	}
+	return v
+}
+
+func (e event) seed(name string) uint64 {
+	raw := e.must(name, gjson.Number, "a whole number").Raw
+	if v, err := strconv.ParseUint(raw, 10, 64); err == nil {
+		return v
+	}
+	return uint64(e.int64(name))
+}
+
+func (e event) whole(name string) int {
+	v := e.must(name, gjson.Number, "a whole number")
+	if n := int(v.Num); float64(n) == v.Num {
+		return n
+	}
+	panic(fault("field " + name + ": not a whole number"))
+}
+
+func (e event) node() uint32 {
+	v, err := strconv.ParseUint(e.must("node", gjson.Number, "a number").Raw, 10, 32)
+	if err != nil {
+		panic(fault("field node: not a number below 2^32"))
+	}
+	return uint32(v)
+}
+
+func (e event) bool(name string) bool {
+	v := e.Get(name)
+	if !v.Exists() || v.Type == gjson.Null {
+		panic(fault("field " + name + ": missing"))
+	}
+	if !v.IsBool() {
+		panic(fault("field " + name + ": not true or false"))
+	}
+	return v.Type == gjson.True
+}
+
+func (e event) list(name string) gjson.Result {
+	v := e.must(name, gjson.JSON, "a list")
+	if !v.IsArray() {
+		panic(fault("field " + name + ": not a list"))
+	}
+	return v
+}
+
+func (e event) object(name string) gjson.Result {
+	v := e.must(name, gjson.JSON, "an object")
+	if !v.IsObject() {
+		panic(fault("field " + name + ": not an object"))
+	}
+	return v
+}
+
+// The opt readers take an absent or null field as nothing told.
+func (e event) optWhole(name string) int {
+	if !e.has(name) {
+		return 0
+	}
+	return e.whole(name)
+}
+
+func (e event) optText(name string) string {
+	if !e.has(name) {
+		return ""
+	}
+	return e.text(name)
+}
+
+func (e event) optNum(name string, absent float64) float64 {
+	if !e.has(name) {
+		return absent
+	}
+	return e.num(name)
+}
+
+func (e event) optMS(name string) float64 { return e.optNum(name, 0) * 1000 }
+
+func (e event) optBool(name string) bool { return e.has(name) && e.bool(name) }
+
+// load is a node's report under the names of this project; values of other kinds are skipped.
+func (e event) load() map[string]float64 {
+	if !e.has("feedback") {
+		return nil
+	}
+	report := map[string]float64{}
+	e.object("feedback").ForEach(func(k, v gjson.Result) bool {
+		if v.Type == gjson.Number {
+			report[k.Str] = v.Num
+		}
+		return true
+	})
+	return report
+}
+
+var endings = map[string]balance.Ending{"Ok": balance.Succeeded, "Failed": balance.Failed,
+	"QueueFull": balance.Full, "TimedOut": balance.TimedOut, "ConnectError": balance.NoConnect,
+	"ResetByPeer": balance.Reset, "Canceled": balance.Canceled, "Ignored": balance.Ignored}
+
+func (e event) ending() balance.Ending {
+	word := e.text("ending")
+	v, known := endings[word]
+	if !known {
+		panic(fault("field ending: unknown word " + strconv.Quote(word)))
+	}
+	return v
+}
+
+// The wire's names and words of settings that this project calls otherwise.
+var names = map[string]string{"request-classes": "operations", "aim-s": "slo-s", "deadline-s": "limit-s",
+	"points": "billed-value", "domain": "rollout", "balancers": "marshals", "me": "number",
+	"locality": "zone", "window-s": "memory-s", "aim-stretch": "slo-stretch"}
+var words = map[string]string{"free": "idempotent", "guarded": "fingerprinted",
+	"single_shot": "side-effecting", "first_voice": "any", "by_count": "count", "automatic": "clock"}
+
+// settings flattens objects to names with dots and turns times into milliseconds.
+func settings(config gjson.Result) balance.Settings {
+	s := balance.Settings{}
+	flatten(s, "", config)
+	return s
+}
+
+func flatten(s balance.Settings, prefix string, object gjson.Result) {
+	object.ForEach(func(k, v gjson.Result) bool {
+		name := k.Str
+		if ours, ok := names[name]; ok {
+			name = ours
+		}
+		scale := 1.0
+		if base, ok := strings.CutSuffix(name, "-s"); ok && !strings.HasSuffix(base, "per") {
+			name, scale = base+"-ms", 1000
+		}
+		name = prefix + name
+		switch {
+		case v.Type == gjson.Number:
+			s[name] = v.Num * scale
+		case v.IsBool():
+			s[name] = v.Bool()
+		case v.Type == gjson.String:
+			s[name] = v.Str
+			if ours, ok := words[v.Str]; ok && k.Str != "name" && k.Str != "discovery" {
+				s[name] = ours
+			} else if k.Str == "discovery" {
+				s[name] = v.Str
+			}
+		case v.IsObject():
+			flatten(s, name+".", v)
+		case v.IsArray():
+			s[name] = items(v, scale)
+		}
+		return true
+	})
+}
+
+func items(array gjson.Result, scale float64) any {
+	var objects []balance.Settings
+	var numbers []float64
+	var texts []string
+	array.ForEach(func(_, v gjson.Result) bool {
+		switch {
+		case v.IsObject():
+			objects = append(objects, settings(v))
+		case v.Type == gjson.Number:
+			numbers = append(numbers, v.Num*scale)
+		case v.Type == gjson.String:
+			texts = append(texts, v.Str)
+		}
+		return true
+	})
+	switch {
+	case objects != nil:
+		return objects
+	case numbers != nil:
+		return numbers
+	}
+	return texts
+}
