Bound what is out by Little's law

Cause: without a bound, bursts filled the nodes' waiting rooms; answers came late and retries piled up. Covers bursts, lost machines and a slowed fleet. May hurt: a marshal whose answers stall for a moment turns work away.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,6 +28,8 @@
 	blindAfter = 4000.0 // ms of a stage without verdict until it is voted on
 	readyAge   = 5000.0 // ms since its start until a node's outcomes are evidence
 	margin     = 10.0   // ms kept before a client's own time is up
+	leastOut   = 8.0    // dispatches out that are never too many
+	queueFor   = 0.5    // of the SLO time that may be spent in work and waiting at a node
 )
 
 // The handles of the instance's timers.
@@ -212,6 +214,7 @@
 	inv.sent = append(inv.sent, dispatch{to: n, ver: n.Ver, sent: now, young: b.young(n, now),
 		short: limit < slo/2, open: true, ran: true})
 	n.inflight++
+	b.out++
 	n.open = append(n.open, opening{inv, len(inv.sent) - 1})
 	if b.onTrial(n.Ver) {
 		for _, e := range []exposure{{n.Ver, -1}, {n.Ver, inv.op}} {
@@ -397,11 +400,12 @@
 	return usual
 }
 
-// overloaded says that the fleet is too slow for this invocation to be answered in time.
+// overloaded says that more is out than the fleet answers within half the SLO time (Little's law), so that what
+// is added would only wait: the least worth for its work is turned away first. It guards against bursts,
+// machines lost and a fleet slowed as a whole, whatever the cause; a marshal with little traffic is let be.
 func (b *Balancer) overloaded(inv *invocation) bool {
-	slo := b.ops[inv.op].num("slo-ms", 0)
-	x := b.recent[inv.op] / slo
-	return x > 0.8 && b.rnd.Float64() < min(0.5, (x-0.8)*2)
+	room := max(leastOut, b.pace*b.ops[inv.op].num("slo-ms", 0)*queueFor)
+	return float64(b.out) >= room
 }
 
 // hold keeps an invocation that can be sent nowhere now, as long as it could still be answered in time.
@@ -475,7 +479,11 @@
 	d.open, d.ran = false, how != Full && how != NoConnect && how != Ignored
 	n := d.to
 	n.inflight--
+	b.out--
 	n.open = slices.DeleteFunc(n.open, func(o opening) bool { return o.inv == inv && o.no == no })
+	if d.ran {
+		b.ends.add(now, 1)
+	}
 	b.learn(inv, d, how, took, now)
 	if done || inv.finished {
 		b.finish(inv)
@@ -527,6 +535,7 @@
 	switch handle {
 	case wakeInterval:
 		b.h.Wake(interval, wakeInterval)
+		b.pace = b.ends.since(b.h.Now()-2*interval) / (2 * interval)
 		b.measure()
 		b.setShare()
 		b.judge()
--- a/balance/state.go
+++ b/balance/state.go
@@ -32,6 +32,9 @@
 	served     float64             // work a warm node does for this marshal, a ms
 	recent     []float64           // latency of each operation on the whole fleet, fading
 	work       sliding
+	out        int     // dispatches that have not ended
+	ends       sliding // those that have, lately
+	pace       float64 // and how many a ms
 
 	vote      Verdict // the vote that stands or is on its way
 	voteVer   int
