Leave silent nodes instead of timing dispatches out early

Cause: time limits short of the client's struck work that only waited its turn; doing it twice made nodes busier, and each time-out counted against the build on trial.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -37,6 +37,7 @@
 	wakeInterval = iota
 	wakeHeld
 	wakeWatch
+	wakeSilent
 )
 
 // New starts an instance.
@@ -49,6 +50,7 @@
 		h.Watch(true)
 	}
 	h.Wake(interval, wakeInterval)
+	h.Wake(100, wakeSilent)
 	return b
 }
 
@@ -209,10 +211,9 @@
 		}
 	}
 
-	limit := b.patience(inv, left)
 	slo := b.ops[inv.op].num("slo-ms", 0)
 	inv.sent = append(inv.sent, dispatch{to: n, ver: n.Ver, sent: now, young: b.young(n, now),
-		short: limit < slo/2, open: true, ran: true})
+		short: left < slo, open: true, ran: true})
 	n.inflight++
 	b.out++
 	n.open = append(n.open, opening{inv, len(inv.sent) - 1})
@@ -227,7 +228,7 @@
 	if b.cold(n, now) < 1 {
 		n.pushed.add(now, b.weigh(inv.cost))
 	}
-	b.h.Dispatch(inv.id, n.ID, limit)
+	b.h.Dispatch(inv.id, n.ID, left)
 }
 
 // draw places an invocation between 0 and 1 for the choice of its build: by its key where keys may only go
@@ -246,27 +247,27 @@
 
 // mayRepeat keeps the rule against double effects.
 func (b *Balancer) mayRepeat(inv *invocation, n *node, now float64) bool {
-	op := b.ops[inv.op]
 	for _, d := range inv.sent {
 		if d.open && !b.set.is("limits.second-copies") {
 			return false
 		}
+	}
+	return b.mayFollow(inv, n, now)
+}
+
+// mayFollow is that rule once nothing of the invocation is out any more.
+func (b *Balancer) mayFollow(inv *invocation, n *node, now float64) bool {
+	op := b.ops[inv.op]
+	for _, d := range inv.sent {
 		if !d.ran || op.text("repeat", "") == "idempotent" {
 			continue
 		}
 		if op.text("repeat", "") != "fingerprinted" || now >= d.sent+op.num("memory-ms", 0) {
 			return false
 		}
-		switch op.text("group", "") {
-		case "all":
-		case "zone":
-			if n.Zone != d.to.Zone {
-				return false
-			}
-		case "cell":
-			if n.Cell != d.to.Cell || n.Zone != d.to.Zone {
-				return false
-			}
+		switch group := op.text("group", ""); {
+		case group == "all", group == "zone" && n.Zone == d.to.Zone:
+		case group == "cell" && n.Zone == d.to.Zone && n.Cell == d.to.Cell:
 		default:
 			return false
 		}
@@ -366,7 +367,7 @@
 	}
 	o := n.open[0]
 	since := max(n.answered, o.inv.sent[o.no].sent)
-	return now-since > max(b.ops[o.inv.op].num("slo-ms", 0)/2, 3*b.recent[o.inv.op])
+	return now-since > b.tooLong(o.inv.op)
 }
 
 // nearby keeps to the own zone where crossing has a price, unless nothing there is free.
@@ -390,14 +391,39 @@
 	return near
 }
 
-// patience is a dispatch's time limit: all that is left, less where another try could still help.
-func (b *Balancer) patience(inv *invocation, left float64) float64 {
-	op := b.ops[inv.op]
-	usual := max(b.recent[inv.op]*4, op.num("slo-ms", 0)*0.6)
-	if op.text("repeat", "") == "side-effecting" || left < usual*1.5 {
-		return left
+// desert stops waiting for dispatches at silent nodes whose invocations may be sent again: a time limit would also
+// strike what only waits its turn at a busy node, and doing that work twice makes the node busier still.
+// It guards against hung, vanished and long-paused nodes; it may hurt where one answer takes far longer than all others.
+func (b *Balancer) desert(now float64) {
+	for _, n := range b.order {
+		if !b.silent(n, now) {
+			continue
+		}
+		for _, o := range slices.Clone(n.open) {
+			d := &o.inv.sent[o.no]
+			if !o.inv.finished && now-d.sent > b.tooLong(o.inv.op) && b.repeatable(o.inv, now) {
+				b.h.Cancel(o.inv.id, o.no)
+				d.left = true
+			}
+		}
+	}
+}
+
+func (b *Balancer) tooLong(op int) float64 {
+	return max(b.ops[op].num("slo-ms", 0)*0.5, 3*b.recent[op])
+}
+
+// repeatable says that some other node could be sent this invocation now.
+func (b *Balancer) repeatable(inv *invocation, now float64) bool {
+	if len(inv.sent) >= int(b.set.num("limits.most-tries", 1)) || inv.sent[len(inv.sent)-1].left {
+		return false
+	}
+	for _, n := range b.order {
+		if n.Health == Serving && !b.silent(n, now) && !b.onTrial(n.Ver) && b.mayFollow(inv, n, now) {
+			return true
+		}
 	}
-	return usual
+	return false
 }
 
 // overloaded says that more is out than the fleet answers within half the SLO time (Little's law), so that what
@@ -499,7 +525,7 @@
 		n.answered = now
 	}
 	failed := how == Failed || how == TimedOut && !d.short || how == Reset
-	if failed || how == NoConnect {
+	if failed || how == NoConnect || how == Canceled {
 		n.bad = n.bad*0.9 + 1
 		n.good *= 0.9
 		n.retest = now + 2000
@@ -548,6 +574,9 @@
 				b.send(inv)
 			}
 		}
+	case wakeSilent:
+		b.h.Wake(100, wakeSilent)
+		b.desert(b.h.Now())
 	case wakeWatch:
 		b.watchDue = false
 		b.h.Watch(true)
--- a/balance/state.go
+++ b/balance/state.go
@@ -53,6 +53,7 @@
 	young bool // the node was too young to give evidence
 	short bool // its time limit was cut below the SLO time
 	open  bool
+	left  bool // it was cancelled
 	ran   bool // it may have run (true while it is open)
 }
 
