Trial share follows the machines listed; cold budget keeps its measure

Cause: at each stage the cap was told seconds before the stage's machines were listed, so the one or two trial nodes there got the share of many, timed out, and a good build was voted back or looked infeasible.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -583,17 +583,22 @@
 	}
 }
 
-// measure finds what a warm node does for this marshal.
+// measure finds what a warm node does for this marshal. It keeps the last figure while nodes are cold: work then
+// goes by the cold nodes' budget, and a budget that followed it would shrink until nothing is sent.
 func (b *Balancer) measure() {
 	now := b.h.Now()
-	const over = 5000
-	warm := 0.0
+	const over = 4000
+	work := b.work.since(now-over) / min(over, max(now-b.begun, interval))
+	parts, cold := 0.0, false
 	for _, n := range b.order {
-		if n.Health == Serving && b.cold(n, now) >= 1 {
-			warm++
+		if n.Health == Serving {
+			parts += b.cold(n, now)
+			cold = cold || b.cold(n, now) < 1
 		}
 	}
-	b.served = b.work.since(now-over) / min(over, max(now-b.begun, interval)) / max(warm, 1)
+	if !cold || now-b.begun < over {
+		b.served = work / max(parts, 1)
+	}
 }
 
 // setShare sets the trial build's share for the next interval: its full cap if feasible, else the feasible
@@ -625,6 +630,11 @@
 	if feasible < 0.5 {
 		target *= feasible
 	}
+	// The cap comes before the stage's machines do: until they are listed, those that are there take no more
+	// than their part of it, or a good build would look slow for being sent too much.
+	if plan := b.set.nums("rollout.stage-share"); b.stage < len(plan) && plan[b.stage] > 0 {
+		target = min(target, b.cap*trial/all/plan[b.stage])
+	}
 	b.share = max(min(target, 2*b.share), trial/all)
 }
 
