What was out in calm times is never too much

Cause: after a burst one marshal's bound fell to its floor while answers were slow for another reason than waiting, and the fleet idled.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,6 +29,7 @@
 	readyAge   = 5000.0 // ms since its start until a node's outcomes are evidence
 	margin     = 10.0   // ms kept before a client's own time is up
 	leastOut   = 8.0    // dispatches out that are never too many
+	calmTimes  = 1.5    // what may be out, against the mean of calm times
 	queueFor   = 0.5    // of the SLO time that may be spent in work and waiting at a node
 )
 
@@ -426,12 +427,17 @@
 	return false
 }
 
-// overloaded says that more is out than the fleet answers within half the SLO time (Little's law), so that what
-// is added would only wait: the least worth for its work is turned away first. It guards against bursts,
-// machines lost and a fleet slowed as a whole, whatever the cause; a marshal with little traffic is let be.
+// overloaded says that more is out than the fleet answers in the time that may be spent at a node (Little's
+// law), so that what is added would only wait. It guards against bursts, machines lost and a fleet slowed as a
+// whole, whatever the cause. What was out in calm times is never too much: answers that come slowly for
+// another reason than waiting would otherwise leave the fleet idle. It may hurt when half the fleet is gone.
 func (b *Balancer) overloaded(inv *invocation) bool {
-	room := max(leastOut, b.pace*b.ops[inv.op].num("slo-ms", 0)*queueFor)
-	return float64(b.out) >= room
+	room := max(leastOut, b.calm*calmTimes, b.pace*b.ops[inv.op].num("slo-ms", 0)*queueFor)
+	if float64(b.out) < room {
+		return false
+	}
+	b.turned = true
+	return true
 }
 
 // hold keeps an invocation that can be sent nowhere now, as long as it could still be answered in time.
@@ -562,6 +568,10 @@
 	case wakeInterval:
 		b.h.Wake(interval, wakeInterval)
 		b.pace = b.ends.since(b.h.Now()-2*interval) / (2 * interval)
+		if !b.turned {
+			b.calm += (float64(b.out) - b.calm) * 0.1
+		}
+		b.turned = false
 		b.measure()
 		b.setShare()
 		b.judge()
--- a/balance/state.go
+++ b/balance/state.go
@@ -35,6 +35,8 @@
 	out        int     // dispatches that have not ended
 	ends       sliding // those that have, lately
 	pace       float64 // and how many a ms
+	calm       float64 // what was out while nothing was turned away, fading
+	turned     bool    // something was turned away in this interval
 
 	vote      Verdict // the vote that stands or is on its way
 	voteVer   int
