One bound for all operations; keys stay bound after a release

Cause (rule): a key answered by a released build went to an earlier one still listed; the binding was only made while on trial.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -432,8 +432,10 @@
 // whole, whatever the cause. What was out in calm times is never too much: answers that come slowly for
 // another reason than waiting would otherwise leave the fleet idle. It may hurt when half the fleet is gone.
 func (b *Balancer) overloaded(inv *invocation) bool {
-	room := max(leastOut, b.calm*calmTimes, b.pace*b.ops[inv.op].num("slo-ms", 0)*queueFor)
-	if float64(b.out) < room {
+	b.slo += (b.ops[inv.op].num("slo-ms", 0) - b.slo) / min(100, b.slos+1)
+	b.slos++
+	room := max(leastOut, b.calm*calmTimes, b.pace*b.slo*queueFor)
+	if float64(b.out) < room || inv.came-b.begun < 2*interval {
 		return false
 	}
 	b.turned = true
@@ -539,8 +541,8 @@
 		n.good, n.bad = n.good*0.9+1, n.bad*0.9
 		b.recent[inv.op] += (took - b.recent[inv.op]) * 0.05
 		b.work.add(now, b.weigh(inv.cost))
-		if b.bound[inv.key] < d.ver && inv.key != "" && b.set.is("rollout.forward-only") && b.onTrial(d.ver) {
-			b.bound[inv.key] = d.ver
+		if inv.key != "" && b.set.is("rollout.forward-only") && d.ver >= b.ver {
+			b.bound[inv.key] = max(b.bound[inv.key], d.ver) // also after its release: it can still go back
 		}
 	}
 	if d.young || !failed && how != Succeeded {
--- a/balance/state.go
+++ b/balance/state.go
@@ -36,6 +36,7 @@
 	ends       sliding // those that have, lately
 	pace       float64 // and how many a ms
 	calm       float64 // what was out while nothing was turned away, fading
+	slo, slos  float64 // the mean SLO time of what arrives, and how many that is of
 	turned     bool    // something was turned away in this interval
 
 	vote      Verdict // the vote that stands or is on its way
