Judge on answers of young nodes too, per operation and on all together

Cause: a stage lasts about 4 s, its nodes' outcomes counted only from 5 s of age, so nearly every vote was blind. May hurt where a young node fails what an old one would not.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -18,19 +18,20 @@
 )
 
 const (
-	interval   = 500.0  // ms between two settings of the trial share
-	draws      = 100    // draws of the posteriors each interval
-	confidence = 0.95   // what a chance has to reach for a verdict
-	leastJudge = 20.0   // outcomes of the trial build before it is judged
-	slower     = 1.15   // the latency at which a build still counts as keeping up
-	pointsOn   = 0.01   // success a build may trail by and still go on
-	pointsBack = 0.02   // success it must trail by to go back
-	blindAfter = 4000.0 // ms of a stage without verdict until it is voted on
-	readyAge   = 5000.0 // ms since its start until a node's outcomes are evidence
-	margin     = 10.0   // ms kept before a client's own time is up
-	leastOut   = 8.0    // dispatches out that are never too many
-	calmTimes  = 1.5    // what may be out, against the mean of calm times
-	queueFor   = 0.5    // of the SLO time that may be spent in work and waiting at a node
+	interval    = 500.0  // ms between two settings of the trial share
+	draws       = 100    // draws of the posteriors each interval
+	confidence  = 0.95   // what a chance has to reach for a verdict
+	leastJudge  = 10.0   // outcomes of the trial build before it is judged
+	priorWeight = 10.0   // outcomes that the earlier build's success is worth as the prior of the next
+	slower      = 1.15   // the latency at which a build still counts as keeping up
+	pointsOn    = 0.01   // success a build may trail by and still go on
+	pointsBack  = 0.02   // success it must trail by to go back
+	blindAfter  = 4000.0 // ms of a stage without verdict until it is voted on
+	readyAge    = 5000.0 // ms since its start until a node's outcomes are evidence
+	margin      = 10.0   // ms kept before a client's own time is up
+	leastOut    = 8.0    // dispatches out that are never too many
+	calmTimes   = 1.5    // what may be out, against the mean of calm times
+	queueFor    = 0.5    // of the SLO time that may be spent in work and waiting at a node
 )
 
 // The handles of the instance's timers.
@@ -545,21 +546,28 @@
 			b.bound[inv.key] = max(b.bound[inv.key], d.ver) // also after its release: it can still go back
 		}
 	}
-	if d.young || !failed && how != Succeeded {
+	// A cold node is slow, not wrong: what it answers is evidence on success, not on latency. Without that a
+	// stage would be over before its nodes are old enough, and every vote on it blind.
+	if d.young && how != Failed && how != Succeeded || !failed && how != Succeeded {
 		return
 	}
-	p := &b.posterior(d.ver)[inv.op]
-	if failed {
-		p.bad++
-		return
+	all := b.posterior(d.ver)
+	for _, p := range []*posterior{&all[inv.op], &all[len(b.ops)]} {
+		switch {
+		case failed:
+			p.bad++
+		case d.young:
+			p.good++
+		default:
+			p.good++
+			p.took(took)
+		}
 	}
-	p.good++
-	p.took(took)
 }
 
 func (b *Balancer) posterior(ver int) []posterior {
 	if b.posteriors[ver] == nil {
-		b.posteriors[ver] = make([]posterior, len(b.ops))
+		b.posteriors[ver] = make([]posterior, len(b.ops)+1)
 	}
 	return b.posteriors[ver]
 }
@@ -631,7 +639,7 @@
 	feasible := 0.0
 	for range draws {
 		within := 1.0
-		for op, p := range b.posterior(b.ver) {
+		for op, p := range b.posterior(b.ver)[:len(b.ops)] {
 			if p.n >= 2 && p.mean+b.rnd.NormFloat64()*math.Sqrt(p.variance()/p.n) > b.ops[op].num("slo-ms", 0) {
 				within = 0
 			}
@@ -690,16 +698,11 @@
 	}
 	fine = 1
 	now, then := b.posterior(b.ver), b.posterior(before)
-	for op := range b.ops {
-		n += now[op].good + now[op].bad
-		bad += now[op].bad
-	}
-	if n < leastJudge {
-		return 0, 0, n, bad
-	}
-	for op := range b.ops {
+	n, bad = now[len(b.ops)].good+now[len(b.ops)].bad, now[len(b.ops)].bad
+	for op := range now { // each operation, and all of them together
 		p, q := now[op], then[op]
-		new := distuv.Beta{Alpha: 1 + p.good, Beta: 1 + p.bad, Src: b.rnd}
+		usual := (1 + q.good) / (2 + q.good + q.bad)
+		new := distuv.Beta{Alpha: priorWeight*usual + p.good, Beta: priorWeight*(1-usual) + p.bad, Src: b.rnd}
 		old := distuv.Beta{Alpha: 1 + q.good, Beta: 1 + q.bad, Src: b.rnd}
 		var keeps, trails float64
 		for range draws {
@@ -714,7 +717,7 @@
 			}
 		}
 		fine = min(fine, keeps/draws)
-		if p.good+p.bad >= leastJudge {
+		if p.bad > 1 {
 			worse = max(worse, trails/draws)
 		}
 	}
