--- a/balance/balance.go
+++ b/balance/balance.go
@@ -58,33 +58,7 @@
 
 // Listed brings the list of nodes, or what has changed of it.
 func (b *Balancer) Listed(whole bool, list []Node) {
-	now := b.h.Now()
-	named := map[uint32]bool{}
-	for _, l := range list {
-		named[l.ID] = true
-		n := b.nodes[l.ID]
-		if n == nil {
-			n = &node{told: now}
-			b.nodes[l.ID] = n
-			i, _ := slices.BinarySearchFunc(b.order, l.ID, func(o *node, id uint32) int {
-				return int(int64(o.ID) - int64(id))
-			})
-			n.Node = l
-			b.order = slices.Insert(b.order, i, n)
-			continue
-		}
-		if n.Started != l.Started || n.Ver != l.Ver { // another process, perhaps another machine
-			n.good, n.bad, n.latency, n.retest, n.answered = 0, 0, 0, 0, now
-		}
-		n.Node, n.told = l, now
-	}
-	if whole {
-		for _, n := range b.order {
-			if !named[n.ID] {
-				n.Health = Gone
-			}
-		}
-	}
+	b.merge(whole, list, b.h.Now())
 }
 
 // ListFailed says that asking for the list failed or a watch has ended, without saying which.
@@ -153,18 +127,6 @@
 	b.send(inv)
 }
 
-func (b *Balancer) takenBy(op int) *sliding {
-	if b.taken[op] == nil {
-		b.taken[op] = &sliding{}
-	}
-	return b.taken[op]
-}
-
-func (b *Balancer) count(s *sliding, now float64) {
-	s.since(now - b.set.num("rollout.counted-over-ms", 0))
-	s.add(now, 1)
-}
-
 // send is the ordinary path of an invocation, from the choice of its build to its dispatch.
 func (b *Balancer) send(inv *invocation) {
 	now := b.h.Now()
@@ -219,14 +181,8 @@
 	n.inflight++
 	b.out++
 	n.open = append(n.open, opening{inv, len(inv.sent) - 1})
-	if b.onTrial(n.Ver) {
-		for _, e := range []exposure{{n.Ver, -1}, {n.Ver, inv.op}} {
-			if b.exposed[e] == nil {
-				b.exposed[e] = &sliding{}
-			}
-			b.exposed[e].add(now, 1)
-		}
-	}
+	b.exposedTo(n.Ver, inv.op).add(now, 1)
+	b.exposedTo(n.Ver, -1).add(now, 1)
 	if b.cold(n, now) < 1 {
 		n.pushed.add(now, b.weigh(inv.cost))
 	}
@@ -299,10 +255,7 @@
 	if now-b.begun < over { // an instance that was here before may have used its allowance up
 		free = 0
 	}
-	used := 0.0
-	if s := b.exposed[exposure{ver, scope}]; s != nil {
-		used = s.since(now - over - margin)
-	}
+	used := b.exposedTo(ver, scope).since(now - over - margin)
 	return used+1 <= free+cap*b.takenBy(scope).since(now-over+margin)
 }
 
@@ -317,13 +270,6 @@
 
 func (b *Balancer) young(n *node, now float64) bool { return n.Started > 0 && now-n.Started < readyAge }
 
-func (b *Balancer) weigh(cost float64) float64 {
-	if cost > 0 {
-		return cost
-	}
-	return 1
-}
-
 // tooCold keeps a starting node from being pushed over: what this marshal sends it within the rule's window
 // stays under the multiple of what a warm node does for this marshal, so the marshals together stay under it.
 func (b *Balancer) tooCold(n *node, cost, now float64) bool {
@@ -393,9 +339,9 @@
 	return near
 }
 
-// desert stops waiting for dispatches at silent nodes whose invocations may be sent again: a time limit would also
-// strike what only waits its turn at a busy node, and doing that work twice makes the node busier still.
-// It guards against hung, vanished and long-paused nodes; it may hurt where one answer takes far longer than all others.
+// desert stops waiting for dispatches at silent nodes whose invocations may be sent again: a time limit would
+// also strike what only waits its turn at a busy node, and doing that work twice makes the node busier still.
+// It guards against hung, vanished and long-paused nodes; it may hurt where one answer takes far longer.
 func (b *Balancer) desert(now float64) {
 	for _, n := range b.order {
 		if !b.silent(n, now) {
@@ -429,8 +375,8 @@
 }
 
 // overloaded says that more is out than the fleet answers in the time that may be spent at a node (Little's
-// law), so that what is added would only wait. It guards against bursts, machines lost and a fleet slowed as a
-// whole, whatever the cause. What was out in calm times is never too much: answers that come slowly for
+// law), so that what is added would only wait. It guards against bursts, machines lost and a fleet slowed
+// as a whole, whatever the cause. What was out in calm times is never too much: answers that come slowly for
 // another reason than waiting would otherwise leave the fleet idle. It may hurt when half the fleet is gone.
 func (b *Balancer) overloaded(inv *invocation) bool {
 	b.slo += (b.ops[inv.op].num("slo-ms", 0) - b.slo) / min(100, b.slos+1)
@@ -481,17 +427,6 @@
 	}
 }
 
-// finish marks an invocation as answered; it is forgotten once its last dispatch has ended.
-func (b *Balancer) finish(inv *invocation) {
-	inv.finished = true
-	for _, d := range inv.sent {
-		if d.open {
-			return
-		}
-	}
-	delete(b.invs, inv.id)
-}
-
 // Lapsed says that the client of an invocation is gone.
 func (b *Balancer) Lapsed(id string) {
 	if inv := b.invs[id]; inv != nil {
@@ -500,7 +435,11 @@
 }
 
 // Began says that a streamed answer has started; the dispatch is the client's from here on.
-func (b *Balancer) Began(id string, no int, id2 uint32, took float64) {}
+func (b *Balancer) Began(id string, no int, _ uint32, took float64) {
+	if inv := b.invs[id]; inv != nil && no < len(inv.sent) {
+		inv.sent[no].left = true // never to be cancelled
+	}
+}
 
 // Ended says how a dispatch ended; done, that its invocation has its final answer.
 func (b *Balancer) Ended(id string, no int, _ uint32, how Ending, took float64, done bool,
@@ -565,13 +504,6 @@
 	}
 }
 
-func (b *Balancer) posterior(ver int) []posterior {
-	if b.posteriors[ver] == nil {
-		b.posteriors[ver] = make([]posterior, len(b.ops)+1)
-	}
-	return b.posteriors[ver]
-}
-
 // Woke is a timer's end.
 func (b *Balancer) Woke(handle int64) {
 	switch handle {
@@ -603,8 +535,8 @@
 	}
 }
 
-// measure finds what a warm node does for this marshal. It keeps the last figure while nodes are cold: work then
-// goes by the cold nodes' budget, and a budget that followed it would shrink until nothing is sent.
+// measure finds what a warm node does for this marshal. It keeps the last figure while nodes are cold: work
+// then goes by the cold nodes' budget, and a budget that followed it would shrink until nothing is sent.
 func (b *Balancer) measure() {
 	now := b.h.Now()
 	const over = 4000
--- a/balance/state.go
+++ b/balance/state.go
@@ -1,6 +1,9 @@
 package balance
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+	"slices"
+)
 
 // State by how long it lives, and the plain helpers it needs. Nothing here decides.
 
@@ -146,6 +149,81 @@
 // exposure is what one build, or one operation at it, was sent within the rule's window.
 type exposure struct{ ver, op int }
 
+func (b *Balancer) takenBy(op int) *sliding {
+	if b.taken[op] == nil {
+		b.taken[op] = &sliding{}
+	}
+	return b.taken[op]
+}
+
+func (b *Balancer) count(s *sliding, now float64) {
+	s.since(now - b.set.num("rollout.counted-over-ms", 0))
+	s.add(now, 1)
+}
+
+// finish marks an invocation as answered; it is forgotten once its last dispatch has ended.
+func (b *Balancer) finish(inv *invocation) {
+	inv.finished = true
+	for _, d := range inv.sent {
+		if d.open {
+			return
+		}
+	}
+	delete(b.invs, inv.id)
+}
+
+func (b *Balancer) posterior(ver int) []posterior {
+	if b.posteriors[ver] == nil {
+		b.posteriors[ver] = make([]posterior, len(b.ops)+1)
+	}
+	return b.posteriors[ver]
+}
+
+func (b *Balancer) weigh(cost float64) float64 {
+	if cost > 0 {
+		return cost
+	}
+	return 1
+}
+
+// merge brings the known nodes up to date; one whose process is another starts over.
+func (b *Balancer) merge(whole bool, list []Node, now float64) {
+	named := map[uint32]bool{}
+	for _, l := range list {
+		named[l.ID] = true
+		n := b.nodes[l.ID]
+		if n == nil {
+			n = &node{told: now}
+			b.nodes[l.ID] = n
+			i, _ := slices.BinarySearchFunc(b.order, l.ID, func(o *node, id uint32) int {
+				return int(int64(o.ID) - int64(id))
+			})
+			n.Node = l
+			b.order = slices.Insert(b.order, i, n)
+			continue
+		}
+		if n.Started != l.Started || n.Ver != l.Ver { // another process, perhaps another machine
+			n.good, n.bad, n.latency, n.retest, n.answered = 0, 0, 0, 0, now
+		}
+		n.Node, n.told = l, now
+	}
+	if whole {
+		for _, n := range b.order {
+			if !named[n.ID] {
+				n.Health = Gone
+			}
+		}
+	}
+}
+
+func (b *Balancer) exposedTo(ver, op int) *sliding {
+	e := exposure{ver, op}
+	if b.exposed[e] == nil {
+		b.exposed[e] = &sliding{}
+	}
+	return b.exposed[e]
+}
+
 func (s Settings) num(name string, absent float64) float64 {
 	if v, ok := s[name].(float64); ok {
 		return v
