Sick nodes get one dispatch at a time, full ones a pause

Cause: a sick node's retest let everything through until its first failure came back; a node that turned work away unseen was asked again at once. May hurt where most nodes fail (it fails open).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -31,6 +31,8 @@
 	margin      = 10.0   // ms kept before a client's own time is up
 	leastOut    = 8.0    // dispatches out that are never too many
 	calmTimes   = 1.5    // what may be out, against the mean of calm times
+	sickBy      = 0.3    // share of failures over the median that makes a node sick
+	fullFor     = 100.0  // ms a node is left alone that turned something away unseen
 	queueFor    = 0.5    // of the SLO time that may be spent in work and waiting at a node
 )
 
@@ -139,7 +141,7 @@
 	// Which nodes may have it: the list, the repeat rules, the cold nodes' budget, the cap.
 	var trial, earlier []*node
 	for _, n := range b.order {
-		if n.Health != Serving || !b.mayRepeat(inv, n, now) || b.tooCold(n, inv.cost, now) {
+		if n.Health != Serving || now < n.full || !b.mayRepeat(inv, n, now) || b.tooCold(n, inv.cost, now) {
 			continue
 		}
 		if b.onTrial(n.Ver) {
@@ -178,6 +180,9 @@
 	slo := b.ops[inv.op].num("slo-ms", 0)
 	inv.sent = append(inv.sent, dispatch{to: n, ver: n.Ver, sent: now, young: b.young(n, now),
 		short: left < slo, open: true, ran: true})
+	if b.sick(n) {
+		n.retest = now + n.penalty
+	}
 	n.inflight++
 	b.out++
 	n.open = append(n.open, opening{inv, len(inv.sent) - 1})
@@ -292,22 +297,25 @@
 	}
 	shares := make([]float64, len(pool))
 	for i, n := range pool {
-		shares[i] = (n.bad + 0.1) / (n.good + n.bad + 1)
+		shares[i] = n.failing()
 	}
-	sorted := slices.Sorted(slices.Values(shares))
-	median := sorted[(len(sorted)-1)/2]
+	slices.Sort(shares)
+	b.median = shares[(len(shares)-1)/2]
 	var well []*node
-	for i, n := range pool {
-		if (shares[i] < median+0.3 || now >= n.retest) && !b.silent(n, now) {
+	for _, n := range pool {
+		if (!b.sick(n) || now >= n.retest) && !b.silent(n, now) {
 			well = append(well, n)
 		}
 	}
-	if len(well)*2 < len(pool) {
+	if len(well)*3 < len(pool) {
 		return pool
 	}
 	return well
 }
 
+// sick nodes get one dispatch at a time, and after each failure the next one later.
+func (b *Balancer) sick(n *node) bool { return n.failing() > b.median+sickBy }
+
 // silent says that a node has answered nothing since its oldest dispatch went out, for too long.
 func (b *Balancer) silent(n *node, now float64) bool {
 	if len(n.open) == 0 {
@@ -476,9 +484,12 @@
 	if failed || how == NoConnect || how == Canceled {
 		n.bad = n.bad*0.9 + 1
 		n.good *= 0.9
-		n.retest = now + 2000
+		n.penalty = min(2*n.penalty+500, 8000)
+		n.retest = now + n.penalty
+	} else if how == Full {
+		n.full = now + fullFor
 	} else if how == Succeeded {
-		n.good, n.bad = n.good*0.9+1, n.bad*0.9
+		n.good, n.bad, n.penalty = n.good*0.9+1, n.bad*0.9, 0
 		b.recent[inv.op] += (took - b.recent[inv.op]) * 0.05
 		b.work.add(now, b.weigh(inv.cost))
 		if inv.key != "" && b.set.is("rollout.forward-only") && d.ver >= b.ver {
--- a/balance/state.go
+++ b/balance/state.go
@@ -40,6 +40,7 @@
 	pace       float64 // and how many a ms
 	calm       float64 // what was out while nothing was turned away, fading
 	slo, slos  float64 // the mean SLO time of what arrives, and how many that is of
+	median     float64 // of the nodes' shares of failures
 	turned     bool    // something was turned away in this interval
 
 	vote      Verdict // the vote that stands or is on its way
@@ -86,11 +87,15 @@
 	answered float64   // when it last answered anything
 	good     float64   // recent outcomes, fading
 	bad      float64
-	latency  float64 // recent latency over what its operation takes on the fleet
 	pushed   sliding // work sent while cold
 	retest   float64 // when a sick node is next tried
+	penalty  float64 // and how long after that again
+	full     float64 // until when it is left alone
 }
 
+// failing is a node's share of failures, lately.
+func (n *node) failing() float64 { return (n.bad + 0.1) / (n.good + n.bad + 1) }
+
 // opening is a dispatch that is out, as its node sees it.
 type opening struct {
 	inv *invocation
@@ -203,7 +208,7 @@
 			continue
 		}
 		if n.Started != l.Started || n.Ver != l.Ver { // another process, perhaps another machine
-			n.good, n.bad, n.latency, n.retest, n.answered = 0, 0, 0, 0, now
+			n.good, n.bad, n.retest, n.penalty, n.answered = 0, 0, 0, 0, now
 		}
 		n.Node, n.told = l, now
 	}
