The median that health is judged against is the whole fleet's

Cause: it was taken over whatever nodes an invocation could go to; where those were two sick ones, sick was normal.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -295,12 +295,6 @@
 	if len(pool) < 2 {
 		return pool
 	}
-	shares := make([]float64, len(pool))
-	for i, n := range pool {
-		shares[i] = n.failing()
-	}
-	slices.Sort(shares)
-	b.median = shares[(len(shares)-1)/2]
 	var well []*node
 	for _, n := range pool {
 		if (!b.sick(n) || now >= n.retest) && !b.silent(n, now) {
@@ -553,12 +547,18 @@
 	const over = 4000
 	work := b.work.since(now-over) / min(over, max(now-b.begun, interval))
 	parts, cold := 0.0, false
+	var shares []float64
 	for _, n := range b.order {
 		if n.Health == Serving {
+			shares = append(shares, n.failing())
 			parts += b.cold(n, now)
 			cold = cold || b.cold(n, now) < 1
 		}
 	}
+	if len(shares) > 0 {
+		slices.Sort(shares)
+		b.median = shares[(len(shares)-1)/2]
+	}
 	if !cold || now-b.begun < over {
 		b.served = work / max(parts, 1)
 	}
