The bound counts only nodes that answer

Cause: what was out at hung nodes filled the bound and the rest of the fleet idled; a floor that ignored lost nodes jammed what was left.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -184,7 +184,6 @@
 		n.retest = now + n.penalty
 	}
 	n.inflight++
-	b.out++
 	n.open = append(n.open, opening{inv, len(inv.sent) - 1})
 	b.exposedTo(n.Ver, inv.op).add(now, 1)
 	b.exposedTo(n.Ver, -1).add(now, 1)
@@ -383,14 +382,26 @@
 func (b *Balancer) overloaded(inv *invocation) bool {
 	b.slo += (b.ops[inv.op].num("slo-ms", 0) - b.slo) / min(100, b.slos+1)
 	b.slos++
-	room := max(leastOut, b.calm*calmTimes, b.pace*b.slo*queueFor)
-	if float64(b.out) < room || inv.came-b.begun < 2*interval {
+	out, living := b.living(inv.came)
+	room := max(leastOut, b.calm*calmTimes*living, b.pace*b.slo*queueFor)
+	if out < room || inv.came-b.begun < 2*interval {
 		return false
 	}
 	b.turned = true
 	return true
 }
 
+// living counts the nodes that answer, and what is out there: what is out at others waits for nothing.
+func (b *Balancer) living(now float64) (out, nodes float64) {
+	for _, n := range b.order {
+		if n.Health == Serving && !b.sick(n) && !b.silent(n, now) {
+			out += float64(n.inflight)
+			nodes++
+		}
+	}
+	return out, nodes
+}
+
 // hold keeps an invocation that can be sent nowhere now, as long as it could still be answered in time.
 func (b *Balancer) hold(inv *invocation, now float64) {
 	for _, d := range inv.sent {
@@ -455,7 +466,6 @@
 	d.open, d.ran = false, how != Full && how != NoConnect && how != Ignored
 	n := d.to
 	n.inflight--
-	b.out--
 	n.open = slices.DeleteFunc(n.open, func(o opening) bool { return o.inv == inv && o.no == no })
 	if d.ran {
 		b.ends.add(now, 1)
@@ -516,7 +526,8 @@
 		b.h.Wake(interval, wakeInterval)
 		b.pace = b.ends.since(b.h.Now()-2*interval) / (2 * interval)
 		if !b.turned {
-			b.calm += (float64(b.out) - b.calm) * 0.1
+			out, living := b.living(b.h.Now())
+			b.calm += (out/max(living, 1) - b.calm) * 0.1
 		}
 		b.turned = false
 		b.measure()
--- a/balance/state.go
+++ b/balance/state.go
@@ -35,10 +35,9 @@
 	served     float64             // work a warm node does for this marshal, a ms
 	recent     []float64           // latency of each operation on the whole fleet, fading
 	work       sliding
-	out        int     // dispatches that have not ended
 	ends       sliding // those that have, lately
 	pace       float64 // and how many a ms
-	calm       float64 // what was out while nothing was turned away, fading
+	calm       float64 // what was out at a node while nothing was turned away, fading
 	slo, slos  float64 // the mean SLO time of what arrives, and how many that is of
 	median     float64 // of the nodes' shares of failures
 	turned     bool    // something was turned away in this interval
