Cold nodes weigh more, a busy trial node spills to earlier ones

Cause: the cap is up to 1.7 times the trial nodes' part of the fleet, and they are cold; in a burst a good build's nodes jammed and timed out, and it was voted back. May hurt: a slow bad build gets less and is judged later.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -33,6 +33,7 @@
 	calmTimes   = 1.5    // what may be out, against the mean of calm times
 	sickBy      = 0.3    // share of failures over the median that makes a node sick
 	fullFor     = 100.0  // ms a node is left alone that turned something away unseen
+	spillAt     = 2.0    // load of a trial node against an earlier one's at which the earlier takes over
 	queueFor    = 0.5    // of the SLO time that may be spent in work and waiting at a node
 )
 
@@ -162,18 +163,10 @@
 		b.hold(inv, now)
 		return
 	}
-	pool = b.healthy(pool, now)
-	pool = b.nearby(pool)
-
-	// Two random choices by what is in flight.
-	n := pool[b.rnd.IntN(len(pool))]
-	if len(pool) > 1 {
-		o := pool[b.rnd.IntN(len(pool)-1)]
-		if o == n {
-			o = pool[len(pool)-1]
-		}
-		if b.load(o) < b.load(n) {
-			n = o
+	n := b.pick(pool, now)
+	if b.onTrial(n.Ver) && len(earlier) > 0 { // a busy trial node judges the share, not the build
+		if e := b.pick(earlier, now); b.load(n, now) > spillAt*b.load(e, now) {
+			n = e
 		}
 	}
 
@@ -286,8 +279,26 @@
 	return n.pushed.since(now-over)+b.weigh(cost)/2 > room
 }
 
-// load is what is in flight at a node against its size.
-func (b *Balancer) load(n *node) float64 { return float64(n.inflight+1) / max(n.Size, 0.01) }
+// pick makes two random choices among the healthy and near by what is in flight.
+func (b *Balancer) pick(pool []*node, now float64) *node {
+	pool = b.nearby(b.healthy(pool, now), now)
+	n := pool[b.rnd.IntN(len(pool))]
+	if len(pool) > 1 {
+		o := pool[b.rnd.IntN(len(pool)-1)]
+		if o == n {
+			o = pool[len(pool)-1]
+		}
+		if b.load(o, now) < b.load(n, now) {
+			n = o
+		}
+	}
+	return n
+}
+
+// load is what is in flight at a node against its size, and what of that it has while cold.
+func (b *Balancer) load(n *node, now float64) float64 {
+	return float64(n.inflight+1) / max(n.Size*b.cold(n, now), 0.01)
+}
 
 // healthy leaves out nodes that fail more than the fleet's median or do not answer; it fails open.
 func (b *Balancer) healthy(pool []*node, now float64) []*node {
@@ -320,7 +331,7 @@
 }
 
 // nearby keeps to the own zone where crossing has a price, unless nothing there is free.
-func (b *Balancer) nearby(pool []*node) []*node {
+func (b *Balancer) nearby(pool []*node, now float64) []*node {
 	if b.set.num("prices.cross-zone", 0) <= 0 {
 		return pool
 	}
@@ -328,10 +339,10 @@
 	var near []*node
 	least, leastNear := math.Inf(1), math.Inf(1)
 	for _, n := range pool {
-		least = min(least, b.load(n))
+		least = min(least, b.load(n, now))
 		if n.Zone == zone {
 			near = append(near, n)
-			leastNear = min(leastNear, b.load(n))
+			leastNear = min(leastNear, b.load(n, now))
 		}
 	}
 	if len(near) == 0 || leastNear > least+2 {
