Untried nodes first, hopeless repeats answered at once, examples as tests

Cause: the examples showed a repeat going to the node that had just failed it, an invocation held to its SLO time though no rule would let it go again, and idle cold nodes left without any traffic.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -163,9 +163,12 @@
 		b.hold(inv, now)
 		return
 	}
+	if fresh := untried(pool, inv); len(fresh) > 0 {
+		pool = fresh
+	}
 	n := b.pick(pool, now)
 	if b.onTrial(n.Ver) && len(earlier) > 0 { // a busy trial node judges the share, not the build
-		if e := b.pick(earlier, now); b.load(n, now) > spillAt*b.load(e, now) {
+		if e := b.pick(earlier, now); b.load(n, now) > spillAt*b.load(e, now)+1 {
 			n = e
 		}
 	}
@@ -297,7 +300,7 @@
 
 // load is what is in flight at a node against its size, and what of that it has while cold.
 func (b *Balancer) load(n *node, now float64) float64 {
-	return float64(n.inflight+1) / max(n.Size*b.cold(n, now), 0.01)
+	return float64(n.inflight) / max(n.Size*b.cold(n, now), 0.01)
 }
 
 // healthy leaves out nodes that fail more than the fleet's median or do not answer; it fails open.
@@ -420,6 +423,12 @@
 			return
 		}
 	}
+	if len(inv.sent) > 0 && !slices.ContainsFunc(b.order, func(n *node) bool {
+		return n.Health == Serving && b.mayFollow(inv, n, now)
+	}) {
+		b.giveUp(inv)
+		return
+	}
 	until := min(inv.due-margin, inv.came+b.ops[inv.op].num("slo-ms", 0)-b.recent[inv.op])
 	if now >= until {
 		b.giveUp(inv)
--- /dev/null
+++ b/balance/example_test.go
@@ -0,0 +1,300 @@
+package balance
+
+import "fmt"
+
+func well(uint32) Ending { return Succeeded }
+
+// failing makes one node fail all it is sent.
+func failing(bad uint32) func(uint32) Ending {
+	return func(node uint32) Ending {
+		if node == bad {
+			return Failed
+		}
+		return Succeeded
+	}
+}
+
+// trial brings build 2 to stage 0 on node 9, which started age ms ago.
+func (s *stand) trial(age float64) {
+	s.b.Listed(false, []Node{{ID: 9, Ver: 2, Size: 1, Started: s.now - age}})
+	s.b.Staged(2, 0, OnTrial, 0.1, 0, false)
+}
+
+// An idempotent invocation that fails goes again; once its tries are used up it is throttled.
+func Example_idempotent() {
+	s := begin("idempotent", nil)
+	s.arrive("a")
+	for range 4 {
+		s.end("a", Failed)
+	}
+	// Output:
+	// 100000  dispatch a to node 2
+	// 100000  dispatch a to node 4
+	// 100000  dispatch a to node 1
+	// 100000  dispatch a to node 3
+	// 100000  throttle a
+}
+
+// A side-effecting one goes again only after a dispatch that provably never ran.
+func Example_sideEffecting() {
+	s := begin("side-effecting", nil)
+	s.arrive("a")
+	s.end("a", Full)
+	s.end("a", Failed)
+	s.arrive("b")
+	s.end("b", Succeeded)
+	// Output:
+	// 100000  dispatch a to node 2
+	// 100000  dispatch a to node 4
+	// 100000  terminate a
+	// 100000  dispatch b to node 1
+}
+
+// A fingerprinted one that may have run goes again in its zone only, and not once the nodes have forgotten it.
+func Example_fingerprinted() {
+	s := begin("fingerprinted", nil)
+	s.arrive("a")
+	s.end("a", Failed)
+	s.end("a", Reset)
+	fmt.Println("the next one is answered after the memory window")
+	s.b.Arrived("b", 0, 0, "", 9000, 0, false, false)
+	s.until(s.now + 3001)
+	s.end("b", TimedOut)
+	// Output:
+	// 100000  dispatch a to node 2
+	// 100000  dispatch a to node 1
+	// 100000  dispatch a to node 1
+	// the next one is answered after the memory window
+	// 100000  dispatch b to node 3
+	// 100300  cancel a dispatch 2
+	// 100300  cancel b dispatch 0
+	// 103001  terminate b
+}
+
+// With every node gone an invocation is held, and throttled while its client still waits.
+func Example_nowhereToGo() {
+	s := begin("side-effecting", nil)
+	s.b.Listed(true, nil)
+	s.arrive("a")
+	s.until(s.now + 1000)
+	// Output:
+	// 100500  throttle a
+}
+
+// Nothing new goes to a node that drains.
+func Example_drain() {
+	s := begin("idempotent", nil)
+	s.b.Listed(false, []Node{{ID: 1, Ver: 1, Health: Draining}, {ID: 2, Ver: 1, Health: Gone},
+		{ID: 3, Ver: 1, Health: Draining}})
+	s.arrive("a")
+	s.arrive("b")
+	// Output:
+	// 100000  dispatch a to node 4
+	// 100000  dispatch b to node 4
+}
+
+// A node that has just started gets little, whatever is in flight elsewhere; a warm one gets its part.
+func Example_coldNode() {
+	s := begin("idempotent", Settings{"rules.fall-multiple": 1.0})
+	s.serve(300, "w", well)
+	for _, age := range []float64{0, 6000} {
+		s.b.Listed(false, []Node{{ID: 5, Ver: 1, Size: 1, Started: s.now - age}})
+		count := 0
+		s.serve(50, fmt.Sprint("x", age, "-"), func(node uint32) Ending {
+			if node == 5 {
+				count++
+			}
+			return Succeeded
+		})
+		fmt.Printf("started %.0f ms ago: %d of 50\n", age, count)
+	}
+	// Output:
+	// started 0 ms ago: 4 of 50
+	// started 6000 ms ago: 6 of 50
+}
+
+// A node that fails where the others do not is left out; its build's other nodes are not.
+func Example_sickNode() {
+	s := begin("idempotent", nil)
+	count := 0
+	s.serve(200, "w", func(node uint32) Ending {
+		if node == 2 {
+			count++
+			return Failed
+		}
+		return Succeeded
+	})
+	fmt.Println("the failing node was sent", count, "of 200")
+	// Output:
+	// the failing node was sent 3 of 200
+}
+
+// A node that answers nothing is left; its invocation goes elsewhere.
+func Example_silentNode() {
+	s := begin("idempotent", nil)
+	s.arrive("a")
+	s.until(s.now + 400)
+	s.end("a", Canceled)
+	s.end("a", Succeeded)
+	// Output:
+	// 100000  dispatch a to node 2
+	// 100300  cancel a dispatch 0
+	// 100400  dispatch a to node 4
+}
+
+// What is out stays within what the fleet answers in half the SLO time; the rest is throttled at once.
+func Example_overload() {
+	s := begin("idempotent", nil)
+	s.serve(100, "w", well)
+	s.mute = true
+	for i := range 40 {
+		s.mute = i != 0 && i != 39
+		s.arrive(fmt.Sprint("x", i))
+	}
+	// Output:
+	// 102000  dispatch x0 to node 3
+	// 102000  throttle x39
+}
+
+// The trial build gets no more than allowance and cap allow; in a shielded stage only what is idempotent.
+func Example_exposure() {
+	for _, shielded := range []float64{0, 1} {
+		s := begin("side-effecting", Settings{"rollout.shielded": shielded})
+		s.serve(300, "w", well)
+		s.trial(6000)
+		count := 0
+		s.serve(200, "x", func(node uint32) Ending {
+			if node == 9 {
+				count++
+			}
+			return Succeeded
+		})
+		fmt.Printf("shielded %.0f: %d of 200 in 4 s\n", shielded, count)
+	}
+	// Output:
+	// 107500  vote on on build 2 at stage 0
+	// shielded 0: 21 of 200 in 4 s
+	// 110000  vote on on build 2 at stage 0
+	// shielded 1: 0 of 200 in 4 s
+}
+
+// A build that the news do not name yet counts as in the first stage; at cap 0 nothing goes there.
+func Example_unannounced() {
+	s := begin("idempotent", nil)
+	s.serve(300, "w", well)
+	s.b.Listed(true, []Node{{ID: 9, Ver: 2, Size: 1}})
+	s.mute = true
+	for i := range 40 {
+		s.arrive(fmt.Sprint("x", i))
+		s.until(s.now + 20)
+	}
+	fmt.Println("of 40, with only the unannounced build listed:", len(s.where)-300)
+	s.until(s.now + 1000)
+	s.b.Staged(2, 0, GoingBack, 0, 0, false)
+	s.mute = false
+	s.arrive("y")
+	s.until(s.now + 1000)
+	// Output:
+	// of 40, with only the unannounced build listed: 21
+	// 108260  throttle y
+}
+
+// A key that the new build has answered goes to no earlier one until the build goes back.
+func Example_forwardOnly() {
+	s := begin("idempotent", Settings{"rollout.forward-only": true})
+	s.b.Listed(true, []Node{{ID: 1, Ver: 1, Size: 1}, {ID: 9, Ver: 2, Size: 1}})
+	s.b.Staged(2, 1, OnTrial, 1, 0, false)
+	s.until(s.now + 5000)
+	s.b.Listed(false, []Node{{ID: 1, Ver: 1, Size: 1, Health: Draining}})
+	s.arrive("k")
+	s.end("k", Succeeded)
+	s.b.Listed(false, []Node{{ID: 1, Ver: 1, Size: 1}, {ID: 9, Ver: 2, Health: Draining}})
+	s.b.Arrived("again", 0, 0, "kk", 1000, 0, false, false)
+	s.until(s.now + 100)
+	s.b.Staged(2, 1, GoingBack, 0, 0, false)
+	s.until(s.now + 100)
+	// Output:
+	// 104000  vote on on build 2 at stage 1
+	// 105000  dispatch k to node 9
+	// 105120  dispatch again to node 1
+}
+
+// A build that fails is voted back.
+func Example_back() {
+	s := begin("idempotent", nil)
+	s.serve(300, "w", well)
+	s.trial(6000)
+	s.serve(300, "x", failing(9))
+	// Output:
+	// 107500  vote back on build 2 at stage 0
+}
+
+// Without a verdict the vote is on after 4 s of a stage, and again when it has lapsed.
+func Example_onAfterFourSeconds() {
+	s := begin("idempotent", nil)
+	s.trial(6000)
+	s.until(s.now + 4600)
+	s.b.Staged(2, 0, OnTrial, 0.1, 4600, true)
+	s.until(s.now + 4500)
+	// Output:
+	// 104000  vote on on build 2 at stage 0
+	// 108500  vote on on build 2 at stage 0
+}
+
+// A build that does as well as the earlier one is voted on before that.
+func Example_on() {
+	s := begin("idempotent", Settings{"rollout.allowance": 100.0})
+	s.serve(300, "w", well)
+	s.trial(6000)
+	s.serve(150, "x", well)
+	// Output:
+	// 107500  vote on on build 2 at stage 0
+}
+
+// A failed vote is tried again later, never at once; one that timed out may count and stands for a while.
+func Example_voteNotAnswered() {
+	for _, how := range []Ending{Failed, TimedOut} {
+		s := begin("idempotent", nil)
+		s.trial(6000)
+		s.until(s.now + 4600)
+		s.b.VoteFailed(how)
+		s.until(s.now + 2500)
+	}
+	// Output:
+	// 104000  vote on on build 2 at stage 0
+	// 106000  vote on on build 2 at stage 0
+	// 104000  vote on on build 2 at stage 0
+	// 107000  vote on on build 2 at stage 0
+}
+
+// Where stages move by a clock it is held while the build looks worse, and never for want of outcomes.
+func Example_clock() {
+	s := begin("idempotent", Settings{"rollout.gate-mode": "clock"})
+	s.serve(300, "w", well)
+	s.trial(6000)
+	s.until(s.now + 5000)
+	n := 0
+	s.serve(200, "x", func(node uint32) Ending {
+		if node != 9 {
+			return Succeeded
+		}
+		n++
+		if n%9 == 0 {
+			return Failed
+		}
+		return Succeeded
+	})
+	// Output:
+	// 114500  vote hold on build 2 at stage 0
+}
+
+// The list is watched where it has to be asked for, and asked for again when that fails.
+func Example_watch() {
+	s := begin("idempotent", Settings{"discovery": "subscribe"})
+	s.b.ListFailed()
+	s.b.ListFailed()
+	s.until(s.now + 4000)
+	// Output:
+	// 100000  watch the list
+	// 102859  watch the list
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -121,6 +121,16 @@
 	return p.squares / (p.n - 1)
 }
 
+// untried leaves out the nodes that an invocation has been sent to.
+func untried(pool []*node, inv *invocation) []*node {
+	if len(inv.sent) == 0 {
+		return pool
+	}
+	return slices.DeleteFunc(slices.Clone(pool), func(n *node) bool {
+		return slices.ContainsFunc(inv.sent, func(d dispatch) bool { return d.to == n })
+	})
+}
+
 // sliding adds up what happened within a window that slides.
 type sliding struct {
 	at   []float64
