Back for a build whose nodes report about twice the work

Cause: builds that need 2 to 4 times the work failed nothing until released; their latency alone cannot be told from a busy share. Nodes' reports (service time, or busy share over rate) are compared model by model, median. May hurt where reports are wrong or cold nodes report.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -34,6 +34,7 @@
 	sickBy      = 0.3    // share of failures over the median that makes a node sick
 	fullFor     = 100.0  // ms a node is left alone that turned something away unseen
 	spillAt     = 2.0    // load of a trial node against an earlier one's at which the earlier takes over
+	heavy       = 1.9    // times the work of the earlier build at which a build goes back
 	queueFor    = 0.5    // of the SLO time that may be spent in work and waiting at a node
 )
 
@@ -490,6 +491,7 @@
 	if d.ran {
 		b.ends.add(now, 1)
 	}
+	n.reported(report)
 	b.learn(inv, d, how, took, now)
 	if done || inv.finished {
 		b.finish(inv)
@@ -641,7 +643,7 @@
 	fine, worse, n, bad := b.compare()
 	standing := b.vote == Back && b.voteVer == b.ver && now < b.voteUntil
 	switch {
-	case n >= leastJudge && worse >= confidence:
+	case n >= leastJudge && worse >= confidence, b.heavier(now) >= heavy:
 		b.cast(Back, now)
 	case b.set.text("rollout.gate-mode", "") == "clock":
 		if n >= leastJudge && bad > 0 && worse > 0.5 {
@@ -698,6 +700,30 @@
 	return fine, worse, n, bad
 }
 
+// heavier is how much more work an invocation is for the build on trial, by what its nodes report, each against
+// the earlier build's nodes of its model: the median, so that one slow machine decides nothing. It guards
+// against builds that are slow but fail little; it is blind where nodes report no such thing.
+func (b *Balancer) heavier(now float64) float64 {
+	sum, count := map[int]float64{}, map[int]float64{}
+	for _, n := range b.order {
+		if n.Health == Serving && n.Ver < b.ver && n.work > 0 && !b.young(n, now) {
+			sum[n.Model] += n.work
+			count[n.Model]++
+		}
+	}
+	var ratios []float64
+	for _, n := range b.order {
+		if n.Health == Serving && n.Ver == b.ver && n.work > 0 && !b.young(n, now) && count[n.Model] > 0 {
+			ratios = append(ratios, n.work*count[n.Model]/sum[n.Model])
+		}
+	}
+	if len(ratios) < 2 {
+		return 0
+	}
+	slices.Sort(ratios)
+	return ratios[(len(ratios)-1)/2]
+}
+
 // cast votes on a change or when the vote has lapsed, paced within the platform's allowance.
 func (b *Balancer) cast(v Verdict, now float64) {
 	same := b.vote == v && b.voteVer == b.ver && (v == Back || b.voteStage == b.stage)
--- a/balance/state.go
+++ b/balance/state.go
@@ -88,6 +88,7 @@
 	bad      float64
 	pushed   sliding // work sent while cold
 	retest   float64 // when a sick node is next tried
+	work     float64 // what an invocation is for it, by its reports
 	penalty  float64 // and how long after that again
 	full     float64 // until when it is left alone
 }
@@ -95,6 +96,20 @@
 // failing is a node's share of failures, lately.
 func (n *node) failing() float64 { return (n.bad + 0.1) / (n.good + n.bad + 1) }
 
+// reported takes from a load report what one invocation is for the node: its service time or, where that is not
+// told, its busy share at its rate.
+func (n *node) reported(report map[string]float64) {
+	work := report["service-ms"]
+	if rate := report["rate"]; work == 0 && rate > 0 {
+		work = report["busy"] / rate
+	}
+	if work > 0 && n.work > 0 {
+		n.work += (work - n.work) * 0.2
+	} else if work > 0 {
+		n.work = work
+	}
+}
+
 // opening is a dispatch that is out, as its node sees it.
 type opening struct {
 	inv *invocation
@@ -217,7 +232,7 @@
 			continue
 		}
 		if n.Started != l.Started || n.Ver != l.Ver { // another process, perhaps another machine
-			n.good, n.bad, n.retest, n.penalty, n.answered = 0, 0, 0, 0, now
+			n.good, n.bad, n.retest, n.penalty, n.work, n.answered = 0, 0, 0, 0, 0, now
 		}
 		n.Node, n.told = l, now
 	}
--- a/internal/simwire/read.go
+++ b/internal/simwire/read.go
@@ -117,15 +117,19 @@
 
 func (e event) optBool(name string) bool { return e.has(name) && e.bool(name) }
 
-// load is a node's report under the names of this project; values of other kinds are skipped.
+// The wire's names of what a node reports.
+var values = map[string]string{"concurrent": "held", "depth": "waiting", "load_share": "busy",
+	"mean_ms": "service-ms", "tps": "rate", "err_ps": "errors"}
+
+// load is a node's report under the names of this project; values that are not known are skipped.
 func (e event) load() map[string]float64 {
 	if !e.has("feedback") {
 		return nil
 	}
 	report := map[string]float64{}
 	e.object("feedback").ForEach(func(k, v gjson.Result) bool {
-		if v.Type == gjson.Number {
-			report[k.Str] = v.Num
+		if ours, known := values[k.Str]; known && v.Type == gjson.Number {
+			report[ours] = v.Num
 		}
 		return true
 	})
