Before the last stage the blind vote waits for nodes old enough to judge

Cause: 4 s of a stage pass before its nodes are 5 s old, so the last stage was always entered blind, and after it no earlier node is left to compare with. The wait is only there, about 3 s. May hurt by 3 s of delay for a good build.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -650,7 +650,7 @@
 			b.cast(Hold, now)
 		}
 	case b.phase != OnTrial:
-	case n >= leastJudge && fine >= confidence, now-b.stageSince >= blindAfter && !standing:
+	case n >= leastJudge && fine >= confidence, now-b.stageSince >= blindAfter && !standing && b.seen(now):
 		b.cast(On, now)
 	}
 }
@@ -700,6 +700,20 @@
 	return fine, worse, n, bad
 }
 
+// seen says that the blind vote need not wait: before the last stage, the one that leaves no earlier node to
+// compare with, half of the trial nodes must be old enough to be judged.
+func (b *Balancer) seen(now float64) bool {
+	old, young := 0, 0
+	for _, n := range b.order {
+		if n.Health == Serving && n.Ver == b.ver && b.young(n, now) {
+			young++
+		} else if n.Health == Serving && n.Ver == b.ver {
+			old++
+		}
+	}
+	return b.stage != len(b.set.nums("rollout.stage-share"))-2 || old > 0 && old >= young
+}
+
 // heavier is how much more work an invocation is for the build on trial, by what its nodes report, each against
 // the earlier build's nodes of its model: the median, so that one slow machine decides nothing. It guards
 // against builds that are slow but fail little; it is blind where nodes report no such thing.
