No blind vote while far more miss their SLO time than usual; back after 10 s of it

Cause: builds that slow all nodes alike leave nothing to compare; the fleet collapsed while every stage was voted on. Covers any cause that starts under a build and lasts. May hurt when a burst or slow spell of 10 s falls into a trial.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -18,24 +18,26 @@
 )
 
 const (
-	interval    = 500.0  // ms between two settings of the trial share
-	draws       = 100    // draws of the posteriors each interval
-	confidence  = 0.95   // what a chance has to reach for a verdict
-	leastJudge  = 10.0   // outcomes of the trial build before it is judged
-	priorWeight = 10.0   // outcomes that the earlier build's success is worth as the prior of the next
-	slower      = 1.15   // the latency at which a build still counts as keeping up
-	pointsOn    = 0.01   // success a build may trail by and still go on
-	pointsBack  = 0.02   // success it must trail by to go back
-	blindAfter  = 4000.0 // ms of a stage without verdict until it is voted on
-	readyAge    = 5000.0 // ms since its start until a node's outcomes are evidence
-	margin      = 10.0   // ms kept before a client's own time is up
-	leastOut    = 8.0    // dispatches out that are never too many
-	calmTimes   = 1.5    // what may be out, against the mean of calm times
-	sickBy      = 0.3    // share of failures over the median that makes a node sick
-	fullFor     = 100.0  // ms a node is left alone that turned something away unseen
-	spillAt     = 2.0    // load of a trial node against an earlier one's at which the earlier takes over
-	heavy       = 1.9    // times the work of the earlier build at which a build goes back
-	queueFor    = 0.5    // of the SLO time that may be spent in work and waiting at a node
+	interval    = 500.0   // ms between two settings of the trial share
+	draws       = 100     // draws of the posteriors each interval
+	confidence  = 0.95    // what a chance has to reach for a verdict
+	leastJudge  = 10.0    // outcomes of the trial build before it is judged
+	priorWeight = 10.0    // outcomes that the earlier build's success is worth as the prior of the next
+	slower      = 1.15    // the latency at which a build still counts as keeping up
+	pointsOn    = 0.01    // success a build may trail by and still go on
+	pointsBack  = 0.02    // success it must trail by to go back
+	blindAfter  = 4000.0  // ms of a stage without verdict until it is voted on
+	readyAge    = 5000.0  // ms since its start until a node's outcomes are evidence
+	margin      = 10.0    // ms kept before a client's own time is up
+	leastOut    = 8.0     // dispatches out that are never too many
+	calmTimes   = 1.5     // what may be out, against the mean of calm times
+	sickBy      = 0.3     // share of failures over the median that makes a node sick
+	fullFor     = 100.0   // ms a node is left alone that turned something away unseen
+	spillAt     = 2.0     // load of a trial node against an earlier one's at which the earlier takes over
+	heavy       = 1.9     // times the work of the earlier build at which a build goes back
+	strained    = 0.25    // share of invocations missing their SLO time over the usual that is trouble
+	strainFor   = 10000.0 // ms of it under a build until that goes back
+	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
 )
 
 // The handles of the instance's timers.
@@ -84,7 +86,7 @@
 		return
 	}
 	if ver > b.ver || !b.announced {
-		b.share = 0
+		b.share, b.toldSince, b.strainSince = 0, now, now
 	}
 	if phase != OnTrial && phase != Released {
 		clear(b.bound)
@@ -454,6 +456,7 @@
 		ran = ran || d.ran
 	}
 	b.finish(inv)
+	b.missed(1)
 	if !ran || harmless {
 		b.h.Throttle(inv.id, 200)
 	} else {
@@ -493,6 +496,13 @@
 	}
 	n.reported(report)
 	b.learn(inv, d, how, took, now)
+	if done && !inv.finished {
+		late := 0.0
+		if how != Succeeded || now-inv.came > b.ops[inv.op].num("slo-ms", 0) {
+			late = 1
+		}
+		b.missed(late)
+	}
 	if done || inv.finished {
 		b.finish(inv)
 		return
@@ -640,17 +650,21 @@
 		return
 	}
 	now := b.h.Now()
+	if b.misses < b.missesUsual+strained {
+		b.strainSince = now
+	}
 	fine, worse, n, bad := b.compare()
 	standing := b.vote == Back && b.voteVer == b.ver && now < b.voteUntil
 	switch {
-	case n >= leastJudge && worse >= confidence, b.heavier(now) >= heavy:
+	case n >= leastJudge && worse >= confidence, b.heavier(now) >= heavy,
+		now-b.strainSince >= strainFor && b.strainSince > b.toldSince:
 		b.cast(Back, now)
 	case b.set.text("rollout.gate-mode", "") == "clock":
 		if n >= leastJudge && bad > 0 && worse > 0.5 {
 			b.cast(Hold, now)
 		}
 	case b.phase != OnTrial:
-	case n >= leastJudge && fine >= confidence, now-b.stageSince >= blindAfter && !standing && b.seen(now):
+	case n >= leastJudge && fine >= confidence, now-b.stageSince >= blindAfter && !standing && b.seen(now) && b.strainSince == now:
 		b.cast(On, now)
 	}
 }
@@ -714,6 +728,14 @@
 	return b.stage != len(b.set.nums("rollout.stage-share"))-2 || old > 0 && old >= young
 }
 
+// missed counts an invocation as answered in time or not, against how many usually are not.
+func (b *Balancer) missed(late float64) {
+	b.misses += (late - b.misses) * 0.03
+	if b.misses < b.missesUsual+strained {
+		b.missesUsual += (late - b.missesUsual) * 0.003
+	}
+}
+
 // heavier is how much more work an invocation is for the build on trial, by what its nodes report, each against
 // the earlier build's nodes of its model: the median, so that one slow machine decides nothing. It guards
 // against builds that are slow but fail little; it is blind where nodes report no such thing.
--- a/balance/state.go
+++ b/balance/state.go
@@ -31,16 +31,19 @@
 	bound      map[string]int // the newest build that has answered a key
 	boundVer   int
 
-	posteriors map[int][]posterior // by build, one for each operation
-	served     float64             // work a warm node does for this marshal, a ms
-	recent     []float64           // latency of each operation on the whole fleet, fading
-	work       sliding
-	ends       sliding // those that have, lately
-	pace       float64 // and how many a ms
-	calm       float64 // what was out at a node while nothing was turned away, fading
-	slo, slos  float64 // the mean SLO time of what arrives, and how many that is of
-	median     float64 // of the nodes' shares of failures
-	turned     bool    // something was turned away in this interval
+	posteriors          map[int][]posterior // by build, one for each operation
+	served              float64             // work a warm node does for this marshal, a ms
+	recent              []float64           // latency of each operation on the whole fleet, fading
+	work                sliding
+	ends                sliding // those that have, lately
+	pace                float64 // and how many a ms
+	calm                float64 // what was out at a node while nothing was turned away, fading
+	slo, slos           float64 // the mean SLO time of what arrives, and how many that is of
+	misses, missesUsual float64 // share of invocations not answered in time, lately and usually
+	strainSince         float64 // since when it is far over the usual
+	toldSince           float64 // when the newest build was announced
+	median              float64 // of the nodes' shares of failures
+	turned              bool    // something was turned away in this interval
 
 	vote      Verdict // the vote that stands or is on its way
 	voteVer   int
