--- a/balance/balance.go
+++ b/balance/balance.go
@@ -36,7 +36,7 @@
 	spillAt     = 2.0     // load of a trial node against an earlier one's at which the earlier takes over
 	heavy       = 1.9     // times the work of the earlier build at which a build goes back
 	strained    = 0.25    // share of invocations missing their SLO time over the usual that is trouble
-	strainFor   = 10000.0 // ms of it under a build until that goes back
+	strainFor   = 12000.0 // ms of it under a build until that goes back
 	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
 )
 
