Reported service time against the rate, not from cold nodes; sick nodes' failures no evidence

Reports up to a second old told of the cold time. A node that fails far more than others of its build is at fault itself.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -109,12 +109,7 @@
 // onTrial says whether a build is on trial for this instance.
 func (b *Balancer) onTrial(ver int) bool {
 	if !b.announced { // nothing told yet: all but the oldest build listed may be on trial
-		for _, n := range b.order {
-			if n.Health == Serving && n.Ver < ver {
-				return true
-			}
-		}
-		return false
+		return b.serving(func(n *node) bool { return n.Ver < ver }) > 0
 	}
 	return ver > b.ver || ver == b.ver && b.phase != Released
 }
@@ -137,6 +132,9 @@
 func (b *Balancer) send(inv *invocation) {
 	now := b.h.Now()
 	left := inv.due - now
+	if inv.out() {
+		return // no site gains from two copies at once
+	}
 	if left <= margin || len(inv.sent) >= int(b.set.num("limits.most-tries", 1)) {
 		b.giveUp(inv)
 		return
@@ -145,7 +143,7 @@
 	// Which nodes may have it: the list, the repeat rules, the cold nodes' budget, the cap.
 	var trial, earlier []*node
 	for _, n := range b.order {
-		if n.Health != Serving || now < n.full || !b.mayRepeat(inv, n, now) || b.tooCold(n, inv.cost, now) {
+		if n.Health != Serving || now < n.full || !b.mayFollow(inv, n, now) || b.tooCold(n, inv.cost, now) {
 			continue
 		}
 		if b.onTrial(n.Ver) {
@@ -206,17 +204,7 @@
 	return float64(h.Sum32()) / (1 << 32)
 }
 
-// mayRepeat keeps the rule against double effects.
-func (b *Balancer) mayRepeat(inv *invocation, n *node, now float64) bool {
-	for _, d := range inv.sent {
-		if d.open && !b.set.is("limits.second-copies") {
-			return false
-		}
-	}
-	return b.mayFollow(inv, n, now)
-}
-
-// mayFollow is that rule once nothing of the invocation is out any more.
+// mayFollow keeps the rule against double effects, once nothing of the invocation is out any more.
 func (b *Balancer) mayFollow(inv *invocation, n *node, now float64) bool {
 	op := b.ops[inv.op]
 	for _, d := range inv.sent {
@@ -384,12 +372,9 @@
 	if len(inv.sent) >= int(b.set.num("limits.most-tries", 1)) || inv.sent[len(inv.sent)-1].left {
 		return false
 	}
-	for _, n := range b.order {
-		if n.Health == Serving && !b.silent(n, now) && !b.onTrial(n.Ver) && b.mayFollow(inv, n, now) {
-			return true
-		}
-	}
-	return false
+	return b.serving(func(n *node) bool {
+		return !b.silent(n, now) && !b.onTrial(n.Ver) && b.mayFollow(inv, n, now)
+	}) > 0
 }
 
 // overloaded says that more is out than the fleet answers in the time that may be spent at a node (Little's
@@ -421,19 +406,9 @@
 
 // hold keeps an invocation that can be sent nowhere now, as long as it could still be answered in time.
 func (b *Balancer) hold(inv *invocation, now float64) {
-	for _, d := range inv.sent {
-		if d.open {
-			return
-		}
-	}
-	if len(inv.sent) > 0 && !slices.ContainsFunc(b.order, func(n *node) bool {
-		return n.Health == Serving && b.mayFollow(inv, n, now)
-	}) {
-		b.giveUp(inv)
-		return
-	}
+	hopeless := len(inv.sent) > 0 && b.serving(func(n *node) bool { return b.mayFollow(inv, n, now) }) == 0
 	until := min(inv.due-margin, inv.came+b.ops[inv.op].num("slo-ms", 0)-b.recent[inv.op])
-	if now >= until {
+	if hopeless || now >= until {
 		b.giveUp(inv)
 		return
 	}
@@ -451,13 +426,9 @@
 	op := b.ops[inv.op]
 	harmless := op.text("repeat", "") == "idempotent" ||
 		op.text("repeat", "") == "fingerprinted" && op.text("group", "") == "all"
-	ran := false
-	for _, d := range inv.sent {
-		ran = ran || d.ran
-	}
 	b.finish(inv)
-	b.missed(1)
-	if !ran || harmless {
+	b.missed(true)
+	if harmless || !inv.mayHaveRun() {
 		b.h.Throttle(inv.id, 200)
 	} else {
 		b.h.Terminate(inv.id)
@@ -494,14 +465,12 @@
 	if d.ran {
 		b.ends.add(now, 1)
 	}
-	n.reported(report)
+	if !b.young(n, now-2*interval) { // reports lag: an earlier one would tell of a cold node
+		n.reported(report)
+	}
 	b.learn(inv, d, how, took, now)
 	if done && !inv.finished {
-		late := 0.0
-		if how != Succeeded || now-inv.came > b.ops[inv.op].num("slo-ms", 0) {
-			late = 1
-		}
-		b.missed(late)
+		b.missed(how != Succeeded || now-inv.came > b.ops[inv.op].num("slo-ms", 0))
 	}
 	if done || inv.finished {
 		b.finish(inv)
@@ -537,6 +506,10 @@
 	if d.young && how != Failed && how != Succeeded || !failed && how != Succeeded {
 		return
 	}
+	// A node that fails far more than others of its build is at fault itself, not its build.
+	if failed && n.failing() > sickBy+b.medianFailing(func(o *node) bool { return o.Ver == d.ver }) {
+		return
+	}
 	all := b.posterior(d.ver)
 	for _, p := range []*posterior{&all[inv.op], &all[len(b.ops)]} {
 		switch {
@@ -590,18 +563,13 @@
 	const over = 4000
 	work := b.work.since(now-over) / min(over, max(now-b.begun, interval))
 	parts, cold := 0.0, false
-	var shares []float64
 	for _, n := range b.order {
 		if n.Health == Serving {
-			shares = append(shares, n.failing())
 			parts += b.cold(n, now)
 			cold = cold || b.cold(n, now) < 1
 		}
 	}
-	if len(shares) > 0 {
-		slices.Sort(shares)
-		b.median = shares[(len(shares)-1)/2]
-	}
+	b.median = b.medianFailing(func(*node) bool { return true })
 	if !cold || now-b.begun < over {
 		b.served = work / max(parts, 1)
 	}
@@ -610,18 +578,8 @@
 // setShare sets the trial build's share for the next interval: its full cap if feasible, else the feasible
 // fraction of the draws; at most doubling, and not below its share of the ready nodes.
 func (b *Balancer) setShare() {
-	trial, all := 0.0, 0.0
-	for _, n := range b.order {
-		if n.Health == Serving {
-			all++
-			if b.onTrial(n.Ver) {
-				trial++
-			}
-		}
-	}
-	if all == 0 {
-		return
-	}
+	trial := b.serving(func(n *node) bool { return b.onTrial(n.Ver) })
+	all := max(1, b.serving(func(*node) bool { return true }))
 	feasible := 0.0
 	for range draws {
 		within := 1.0
@@ -664,7 +622,8 @@
 			b.cast(Hold, now)
 		}
 	case b.phase != OnTrial:
-	case n >= leastJudge && fine >= confidence, now-b.stageSince >= blindAfter && !standing && b.seen(now) && b.strainSince == now:
+	case n >= leastJudge && fine >= confidence,
+		now-b.stageSince >= blindAfter && !standing && b.seen(now) && b.strainSince == now:
 		b.cast(On, now)
 	}
 }
@@ -672,17 +631,7 @@
 // compare gives the chances that the newest build keeps up with the earlier one and that it is worse, over
 // all operations the least of the one and the greatest of the other, and its outcomes and failures.
 func (b *Balancer) compare() (fine, worse, n, bad float64) {
-	before := -1
-	for _, o := range b.order {
-		if o.Ver < b.ver && o.Ver > before {
-			before = o.Ver
-		}
-	}
-	for ver := range b.posteriors {
-		if ver < b.ver && ver > before {
-			before = ver
-		}
-	}
+	before := b.earlier()
 	if before < 0 {
 		return 0, 0, 0, 0
 	}
@@ -717,40 +666,41 @@
 // seen says that the blind vote need not wait: before the last stage, the one that leaves no earlier node to
 // compare with, half of the trial nodes must be old enough to be judged.
 func (b *Balancer) seen(now float64) bool {
-	old, young := 0, 0
-	for _, n := range b.order {
-		if n.Health == Serving && n.Ver == b.ver && b.young(n, now) {
-			young++
-		} else if n.Health == Serving && n.Ver == b.ver {
-			old++
-		}
-	}
-	return b.stage != len(b.set.nums("rollout.stage-share"))-2 || old > 0 && old >= young
+	all := b.serving(func(n *node) bool { return n.Ver == b.ver })
+	young := b.serving(func(n *node) bool { return n.Ver == b.ver && b.young(n, now) })
+	return b.stage != len(b.set.nums("rollout.stage-share"))-2 || young*2 <= all && all > 0
 }
 
 // missed counts an invocation as answered in time or not, against how many usually are not.
-func (b *Balancer) missed(late float64) {
+func (b *Balancer) missed(yes bool) {
+	late := 0.0
+	if yes {
+		late = 1
+	}
 	b.misses += (late - b.misses) * 0.03
 	if b.misses < b.missesUsual+strained {
 		b.missesUsual += (late - b.missesUsual) * 0.003
 	}
 }
 
-// heavier is how much more work an invocation is for the build on trial, by what its nodes report, each against
-// the earlier build's nodes of its model: the median, so that one slow machine decides nothing. It guards
-// against builds that are slow but fail little; it is blind where nodes report no such thing.
+// heavier is how much more work an invocation is for the build on trial, by what its nodes report, each
+// against the earlier build's nodes of its model: the median, so that one slow machine decides nothing. It
+// guards against builds that are slow but fail little; it is blind where nodes report no such thing.
 func (b *Balancer) heavier(now float64) float64 {
-	sum, count := map[int]float64{}, map[int]float64{}
+	tells := func(n *node) bool { return n.Health == Serving && n.work > 0 && !b.young(n, now) }
+	sum, rate, count := map[int]float64{}, map[int]float64{}, map[int]float64{}
 	for _, n := range b.order {
-		if n.Health == Serving && n.Ver < b.ver && n.work > 0 && !b.young(n, now) {
+		if tells(n) && n.Ver < b.ver {
 			sum[n.Model] += n.work
+			rate[n.Model] += n.rate
 			count[n.Model]++
 		}
 	}
 	var ratios []float64
 	for _, n := range b.order {
-		if n.Health == Serving && n.Ver == b.ver && n.work > 0 && !b.young(n, now) && count[n.Model] > 0 {
-			ratios = append(ratios, n.work*count[n.Model]/sum[n.Model])
+		if tells(n) && n.Ver == b.ver && count[n.Model] > 0 {
+			more := max(1, n.rate*count[n.Model]/max(rate[n.Model], 1e-9)) // shared by more, each takes longer
+			ratios = append(ratios, n.work*count[n.Model]/sum[n.Model]/more)
 		}
 	}
 	if len(ratios) < 2 {
--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -50,7 +50,7 @@
 	// 100000  dispatch b to node 1
 }
 
-// A fingerprinted one that may have run goes again in its zone only, and not once the nodes have forgotten it.
+// A fingerprinted one that may have run goes again in its zone only, and only while the nodes remember it.
 func Example_fingerprinted() {
 	s := begin("fingerprinted", nil)
 	s.arrive("a")
--- a/balance/state.go
+++ b/balance/state.go
@@ -92,6 +92,7 @@
 	pushed   sliding // work sent while cold
 	retest   float64 // when a sick node is next tried
 	work     float64 // what an invocation is for it, by its reports
+	rate     float64 // and how many it serves
 	penalty  float64 // and how long after that again
 	full     float64 // until when it is left alone
 }
@@ -99,17 +100,18 @@
 // failing is a node's share of failures, lately.
 func (n *node) failing() float64 { return (n.bad + 0.1) / (n.good + n.bad + 1) }
 
-// reported takes from a load report what one invocation is for the node: its service time or, where that is not
-// told, its busy share at its rate.
+// reported takes from a load report what one invocation is for the node: its service time or, where that is
+// not told, its busy share at its rate.
 func (n *node) reported(report map[string]float64) {
-	work := report["service-ms"]
-	if rate := report["rate"]; work == 0 && rate > 0 {
-		work = report["busy"] / rate
+	work, rate := report["service-ms"], report["rate"]
+	if work == 0 && rate > 0 {
+		work, rate = report["busy"]/rate, 1 // that does not hang on how many share the node
 	}
 	if work > 0 && n.work > 0 {
 		n.work += (work - n.work) * 0.2
+		n.rate += (rate - n.rate) * 0.2
 	} else if work > 0 {
-		n.work = work
+		n.work, n.rate = work, rate
 	}
 }
 
@@ -149,6 +151,57 @@
 	})
 }
 
+// out says that a dispatch of the invocation has not ended.
+func (inv *invocation) out() bool {
+	return slices.ContainsFunc(inv.sent, func(d dispatch) bool { return d.open })
+}
+
+// mayHaveRun says that a dispatch of it may have had its effect.
+func (inv *invocation) mayHaveRun() bool {
+	return slices.ContainsFunc(inv.sent, func(d dispatch) bool { return d.ran })
+}
+
+// serving counts the nodes listed as serving for which something holds.
+func (b *Balancer) serving(holds func(*node) bool) (count float64) {
+	for _, n := range b.order {
+		if n.Health == Serving && holds(n) {
+			count++
+		}
+	}
+	return count
+}
+
+// medianFailing is the lower median of the shares of failures of the serving nodes for which something holds.
+func (b *Balancer) medianFailing(holds func(*node) bool) float64 {
+	var shares []float64
+	for _, n := range b.order {
+		if n.Health == Serving && holds(n) {
+			shares = append(shares, n.failing())
+		}
+	}
+	if len(shares) == 0 {
+		return 0
+	}
+	slices.Sort(shares)
+	return shares[(len(shares)-1)/2]
+}
+
+// earlier is the build before the newest, or -1.
+func (b *Balancer) earlier() int {
+	before := -1
+	for _, n := range b.order {
+		if n.Ver < b.ver {
+			before = max(before, n.Ver)
+		}
+	}
+	for ver := range b.posteriors {
+		if ver < b.ver {
+			before = max(before, ver)
+		}
+	}
+	return before
+}
+
 // sliding adds up what happened within a window that slides.
 type sliding struct {
 	at   []float64
