Reports of nodes cold within 3 s not taken; back from 1.8 times the work

Cause: reported service times average over seconds; nodes 5 s old still told of their cold time, 2.4 times as long.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -34,7 +34,8 @@
 	sickBy      = 0.3     // share of failures over the median that makes a node sick
 	fullFor     = 100.0   // ms a node is left alone that turned something away unseen
 	spillAt     = 2.0     // load of a trial node against an earlier one's at which the earlier takes over
-	heavy       = 1.9     // times the work of the earlier build at which a build goes back
+	reportLag   = 3000.0  // ms that a node's report may tell of
+	heavy       = 1.8     // times the work of the earlier build at which a build goes back
 	strained    = 0.25    // share of invocations missing their SLO time over the usual that is trouble
 	strainFor   = 12000.0 // ms of it under a build until that goes back
 	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
@@ -190,8 +191,8 @@
 	b.h.Dispatch(inv.id, n.ID, left)
 }
 
-// draw places an invocation between 0 and 1 for the choice of its build: by its key where keys may only go
-// forward or are served faster where they were met before, so that the same keys make up the share.
+// draw places an invocation between 0 and 1 for the choice of its build: by its key where keys only go forward,
+// so that the same keys make up the share.
 func (b *Balancer) draw(inv *invocation) float64 {
 	if inv.key == "" || !b.set.is("rollout.forward-only") {
 		return b.rnd.Float64()
@@ -296,16 +297,13 @@
 
 // healthy leaves out nodes that fail more than the fleet's median or do not answer; it fails open.
 func (b *Balancer) healthy(pool []*node, now float64) []*node {
-	if len(pool) < 2 {
-		return pool
-	}
 	var well []*node
 	for _, n := range pool {
 		if (!b.sick(n) || now >= n.retest) && !b.silent(n, now) {
 			well = append(well, n)
 		}
 	}
-	if len(well)*3 < len(pool) {
+	if len(well) == 0 || len(well)*3 < len(pool) {
 		return pool
 	}
 	return well
@@ -465,7 +463,7 @@
 	if d.ran {
 		b.ends.add(now, 1)
 	}
-	if !b.young(n, now-2*interval) { // reports lag: an earlier one would tell of a cold node
+	if !b.young(n, now-reportLag) { // an earlier one would tell of a cold node
 		n.reported(report)
 	}
 	b.learn(inv, d, how, took, now)
@@ -613,6 +611,7 @@
 	}
 	fine, worse, n, bad := b.compare()
 	standing := b.vote == Back && b.voteVer == b.ver && now < b.voteUntil
+	due := now-b.stageSince >= blindAfter && !standing && b.seen(now) && b.strainSince == now
 	switch {
 	case n >= leastJudge && worse >= confidence, b.heavier(now) >= heavy,
 		now-b.strainSince >= strainFor && b.strainSince > b.toldSince:
@@ -622,8 +621,7 @@
 			b.cast(Hold, now)
 		}
 	case b.phase != OnTrial:
-	case n >= leastJudge && fine >= confidence,
-		now-b.stageSince >= blindAfter && !standing && b.seen(now) && b.strainSince == now:
+	case n >= leastJudge && fine >= confidence, due:
 		b.cast(On, now)
 	}
 }
