--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,6 +20,7 @@
 const (
 	interval    = 500.0   // ms between two settings of the trial share
 	draws       = 100     // draws of the posteriors each interval
+	judgeDraws  = 400     // draws for a verdict
 	confidence  = 0.95    // what a chance has to reach for a verdict
 	leastJudge  = 10.0    // outcomes of the trial build before it is judged
 	priorWeight = 10.0    // outcomes that the earlier build's success is worth as the prior of the next
@@ -191,8 +192,8 @@
 	b.h.Dispatch(inv.id, n.ID, left)
 }
 
-// draw places an invocation between 0 and 1 for the choice of its build: by its key where keys only go forward,
-// so that the same keys make up the share.
+// draw places an invocation between 0 and 1 for the choice of its build: by its key where keys only go
+// forward, so that always the same keys make up the share.
 func (b *Balancer) draw(inv *invocation) float64 {
 	if inv.key == "" || !b.set.is("rollout.forward-only") {
 		return b.rnd.Float64()
@@ -277,17 +278,14 @@
 // pick makes two random choices among the healthy and near by what is in flight.
 func (b *Balancer) pick(pool []*node, now float64) *node {
 	pool = b.nearby(b.healthy(pool, now), now)
-	n := pool[b.rnd.IntN(len(pool))]
-	if len(pool) > 1 {
-		o := pool[b.rnd.IntN(len(pool)-1)]
-		if o == n {
-			o = pool[len(pool)-1]
-		}
-		if b.load(o, now) < b.load(n, now) {
-			n = o
-		}
+	i, j := b.rnd.IntN(len(pool)), b.rnd.IntN(len(pool))
+	if i == j {
+		j = (j + 1) % len(pool)
+	}
+	if b.load(pool[j], now) < b.load(pool[i], now) {
+		return pool[j]
 	}
-	return n
+	return pool[i]
 }
 
 // load is what is in flight at a node against its size, and what of that it has while cold.
@@ -384,11 +382,9 @@
 	b.slos++
 	out, living := b.living(inv.came)
 	room := max(leastOut, b.calm*calmTimes*living, b.pace*b.slo*queueFor)
-	if out < room || inv.came-b.begun < 2*interval {
-		return false
-	}
-	b.turned = true
-	return true
+	over := out >= room && inv.came-b.begun >= 2*interval
+	b.turned = b.turned || over
+	return over
 }
 
 // living counts the nodes that answer, and what is out there: what is out at others waits for nothing.
@@ -510,13 +506,12 @@
 	}
 	all := b.posterior(d.ver)
 	for _, p := range []*posterior{&all[inv.op], &all[len(b.ops)]} {
-		switch {
-		case failed:
-			p.bad++
-		case d.young:
-			p.good++
-		default:
-			p.good++
+		if failed {
+			p.failed(how)
+			continue
+		}
+		p.good++
+		if !d.young {
 			p.took(took)
 		}
 	}
@@ -638,25 +633,29 @@
 	n, bad = now[len(b.ops)].good+now[len(b.ops)].bad, now[len(b.ops)].bad
 	for op := range now { // each operation, and all of them together
 		p, q := now[op], then[op]
-		usual := (1 + q.good) / (2 + q.good + q.bad)
-		new := distuv.Beta{Alpha: priorWeight*usual + p.good, Beta: priorWeight*(1-usual) + p.bad, Src: b.rnd}
-		old := distuv.Beta{Alpha: 1 + q.good, Beta: 1 + q.bad, Src: b.rnd}
-		var keeps, trails float64
-		for range draws {
-			s, t := new.Rand(), old.Rand()
-			if s < t-pointsBack {
-				trails++
+		// Errors are also judged alone: overload adds time-outs to both builds, which would drown them.
+		for _, failed := range [][2]float64{{p.bad, q.bad}, {p.errors, q.errors}} {
+			usual := (1 + q.good + q.bad - failed[1]) / (2 + q.good + q.bad)
+			new := distuv.Beta{Alpha: priorWeight*usual + p.good + p.bad - failed[0],
+				Beta: priorWeight*(1-usual) + failed[0], Src: b.rnd}
+			old := distuv.Beta{Alpha: 1 + q.good + q.bad - failed[1], Beta: 1 + failed[1], Src: b.rnd}
+			var keeps, trails float64
+			for range judgeDraws {
+				s, t := new.Rand(), old.Rand()
+				if s < t-pointsBack {
+					trails++
+				}
+				l := p.mean + b.rnd.NormFloat64()*math.Sqrt(p.variance()/max(p.n, 1))
+				m := q.mean + b.rnd.NormFloat64()*math.Sqrt(q.variance()/max(q.n, 1))
+				if s >= t-pointsOn && l <= slower*m {
+					keeps++
+				}
 			}
-			l := p.mean + b.rnd.NormFloat64()*math.Sqrt(p.variance()/max(p.n, 1))
-			m := q.mean + b.rnd.NormFloat64()*math.Sqrt(q.variance()/max(q.n, 1))
-			if s >= t-pointsOn && l <= slower*m {
-				keeps++
+			fine = min(fine, keeps/judgeDraws)
+			if failed[0] > 1 {
+				worse = max(worse, trails/judgeDraws)
 			}
 		}
-		fine = min(fine, keeps/draws)
-		if p.bad > 1 {
-			worse = max(worse, trails/draws)
-		}
 	}
 	return fine, worse, n, bad
 }
--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -172,7 +172,7 @@
 		fmt.Printf("shielded %.0f: %d of 200 in 4 s\n", shielded, count)
 	}
 	// Output:
-	// 107500  vote on on build 2 at stage 0
+	// 108000  vote on on build 2 at stage 0
 	// shielded 0: 21 of 200 in 4 s
 	// 110000  vote on on build 2 at stage 0
 	// shielded 1: 0 of 200 in 4 s
@@ -248,7 +248,7 @@
 	s.trial(6000)
 	s.serve(150, "x", well)
 	// Output:
-	// 107500  vote on on build 2 at stage 0
+	// 108000  vote on on build 2 at stage 0
 }
 
 // A failed vote is tried again later, never at once; one that timed out may count and stands for a while.
@@ -285,7 +285,7 @@
 		return Succeeded
 	})
 	// Output:
-	// 114500  vote hold on build 2 at stage 0
+	// 115000  vote hold on build 2 at stage 0
 }
 
 // The list is watched where it has to be asked for, and asked for again when that fails.
--- a/balance/state.go
+++ b/balance/state.go
@@ -124,9 +124,17 @@
 // posterior is what is known of one build at one operation.
 type posterior struct {
 	good, bad        float64
+	errors           float64 // of bad, what was answered with an error
 	n, mean, squares float64 // latency: Welford's running mean and sum of squares
 }
 
+func (p *posterior) failed(how Ending) {
+	p.bad++
+	if how == Failed {
+		p.errors++
+	}
+}
+
 func (p *posterior) took(ms float64) {
 	p.n++
 	d := ms - p.mean
