--- a/balance/balance.go
+++ b/balance/balance.go
@@ -88,7 +88,7 @@
 		return
 	}
 	if ver > b.ver || !b.announced {
-		b.share, b.toldSince, b.strainSince = 0, now, now
+		b.share, b.metAt, b.strainSince = 0, math.Inf(1), now
 	}
 	if phase != OnTrial && phase != Released {
 		clear(b.bound)
@@ -462,6 +462,9 @@
 	if !b.young(n, now-reportLag) { // an earlier one would tell of a cold node
 		n.reported(report)
 	}
+	if d.ver == b.ver && d.ran {
+		b.metAt = min(b.metAt, now)
+	}
 	b.learn(inv, d, how, took, now)
 	if done && !inv.finished {
 		b.missed(how != Succeeded || now-inv.came > b.ops[inv.op].num("slo-ms", 0))
@@ -609,7 +612,7 @@
 	due := now-b.stageSince >= blindAfter && !standing && b.seen(now) && b.strainSince == now
 	switch {
 	case n >= leastJudge && worse >= confidence, b.heavier(now) >= heavy,
-		now-b.strainSince >= strainFor && b.strainSince > b.toldSince:
+		now-b.strainSince >= strainFor && b.strainSince > b.metAt:
 		b.cast(Back, now)
 	case b.set.text("rollout.gate-mode", "") == "clock":
 		if n >= leastJudge && bad > 0 && worse > 0.5 {
--- a/balance/state.go
+++ b/balance/state.go
@@ -41,7 +41,7 @@
 	slo, slos           float64 // the mean SLO time of what arrives, and how many that is of
 	misses, missesUsual float64 // share of invocations not answered in time, lately and usually
 	strainSince         float64 // since when it is far over the usual
-	toldSince           float64 // when the newest build was announced
+	metAt               float64 // when the newest build first answered
 	median              float64 // of the nodes' shares of failures
 	turned              bool    // something was turned away in this interval
 
