--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -251,6 +251,111 @@
 	// 108000  vote on on build 2 at stage 0
 }
 
+// A build that fails nothing but needs three times the work goes back, if its nodes say so and it is seen.
+func Example_heavierBuild() {
+	for _, times := range []float64{1, 3} {
+		s := begin("idempotent", Settings{"rollout.allowance": 40.0})
+		work := func(node uint32) float64 {
+			if node > 8 {
+				return times * 50
+			}
+			return 50
+		}
+		s.took = work
+		s.tells = func(node uint32) map[string]float64 {
+			return map[string]float64{"service-ms": work(node), "rate": 10}
+		}
+		s.serve(300, "w", well)
+		s.b.Listed(false, []Node{{ID: 10, Ver: 2, Size: 1, Started: s.now - 9000}})
+		s.trial(9000)
+		fmt.Printf("%.0f times the work\n", times)
+		s.serve(100, "x", well)
+	}
+	// Output:
+	// 1 times the work
+	// 107000  vote on on build 2 at stage 0
+	// 3 times the work
+	// 107000  vote back on build 2 at stage 0
+}
+
+// Trouble that begins under a build and lasts sends it back, though both builds fail alike: it may slow them all.
+func Example_troubleUnderBuild() {
+	s := begin("idempotent", nil)
+	s.serve(300, "w", well)
+	s.trial(6000)
+	s.serve(50, "x", well)
+	s.serve(900, "y", func(uint32) Ending { return TimedOut })
+	// Output:
+	// 119000  vote back on build 2 at stage 0
+}
+
+// One failing node of two does not send its build back.
+func Example_oneSickTrialNode() {
+	s := begin("idempotent", Settings{"rollout.allowance": 40.0})
+	s.serve(300, "w", well)
+	s.b.Listed(false, []Node{{ID: 10, Ver: 2, Size: 1}})
+	s.trial(6000)
+	s.serve(250, "x", failing(10))
+	// Output:
+	// 107500  vote on on build 2 at stage 0
+}
+
+// Errors are seen through the time-outs of an overloaded fleet.
+func Example_errorsUnderLoad() {
+	s := begin("side-effecting", Settings{"rollout.allowance": 40.0})
+	i := 0
+	s.serve(900, "w", func(uint32) Ending { i++; return []Ending{Succeeded, TimedOut}[i%10/9] })
+	s.trial(6000)
+	s.serve(400, "x", func(node uint32) Ending {
+		i++
+		if node == 9 && i%7 == 0 {
+			return Failed
+		}
+		return []Ending{Succeeded, TimedOut}[i%10/9]
+	})
+	// Output:
+	// 119500  vote back on build 2 at stage 0
+}
+
+// The cap of a stage comes before its nodes do: those listed get their part of it, not all.
+func Example_shareFollowsList() {
+	s := begin("idempotent", Settings{"rollout.stage-share": []float64{0.8, 1}, "rollout.allowance": 500.0})
+	s.serve(300, "w", well)
+	s.b.Listed(false, []Node{{ID: 9, Ver: 2, Size: 1}})
+	s.b.Staged(2, 0, OnTrial, 1, 0, false)
+	s.until(s.now + 3000)
+	count := 0
+	s.serve(200, "x", func(node uint32) Ending {
+		if node == 9 {
+			count++
+		}
+		return Succeeded
+	})
+	fmt.Printf("one node of four that are to come, cap 1: %d of 200\n", count)
+	// Output:
+	// 110000  vote on on build 2 at stage 0
+	// one node of four that are to come, cap 1: 45 of 200
+}
+
+// A trial node with much more in flight than an earlier one gives way to it.
+func Example_busyTrialNode() {
+	s := begin("idempotent", Settings{"rollout.allowance": 500.0, "rollout.stage-share": []float64{0.2, 1}})
+	s.serve(300, "w", well)
+	s.b.Listed(false, []Node{{ID: 9, Ver: 2, Size: 1}})
+	s.b.Staged(2, 0, OnTrial, 1, 0, false)
+	s.until(s.now + 3000)
+	for i := range 6 {
+		s.arrive(fmt.Sprint("x", i))
+	}
+	// Output:
+	// 109000  dispatch x0 to node 9
+	// 109000  dispatch x1 to node 9
+	// 109000  dispatch x2 to node 3
+	// 109000  dispatch x3 to node 1
+	// 109000  dispatch x4 to node 2
+	// 109000  dispatch x5 to node 4
+}
+
 // A failed vote is tried again later, never at once; one that timed out may count and stands for a while.
 func Example_voteNotAnswered() {
 	for _, how := range []Ending{Failed, TimedOut} {
--- a/balance/helper_test.go
+++ b/balance/helper_test.go
@@ -11,7 +11,8 @@
 	due   []float64
 	sent  map[string]int
 	where map[string]uint32
-	votes []string
+	took  func(node uint32) float64 // how long a dispatch takes, and what its node reports
+	tells func(node uint32) map[string]float64
 }
 
 func (s *stand) say(format string, a ...any) {
@@ -75,7 +76,9 @@
 	for name, v := range change {
 		set[name] = v
 	}
-	s := &stand{now: 100000, sent: map[string]int{}, where: map[string]uint32{}}
+	s := &stand{now: 100000, sent: map[string]int{}, where: map[string]uint32{},
+		took:  func(uint32) float64 { return 50 },
+		tells: func(uint32) map[string]float64 { return nil }}
 	s.b = New(s, set, 7)
 	s.b.Listed(true, []Node{{ID: 1, Ver: 1, Size: 1}, {ID: 2, Ver: 1, Size: 1},
 		{ID: 3, Ver: 1, Size: 1, Zone: 1}, {ID: 4, Ver: 1, Size: 1, Zone: 1}})
@@ -88,8 +91,8 @@
 
 // end ends an invocation's last dispatch.
 func (s *stand) end(inv string, how Ending) {
-	no := s.sent[inv] - 1
-	s.b.Ended(inv, no, s.where[inv], how, 50, how == Succeeded, nil)
+	no, node := s.sent[inv]-1, s.where[inv]
+	s.b.Ended(inv, no, node, how, s.took(node), how == Succeeded, s.tells(node))
 }
 
 // serve sends n invocations through, 20 ms apart, and prints none of it but votes.
