Work from reports less the sharing of cores, back from 1.5 times

Service time over one plus how many are served at once is what one invocation would take alone on one core.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -36,7 +36,7 @@
 	fullFor     = 100.0   // ms a node is left alone that turned something away unseen
 	spillAt     = 2.0     // load of a trial node against an earlier one's at which the earlier takes over
 	reportLag   = 3000.0  // ms that a node's report may tell of
-	heavy       = 1.8     // times the work of the earlier build at which a build goes back
+	heavy       = 1.5     // times the work of the earlier build at which a build goes back
 	strained    = 0.25    // share of invocations missing their SLO time over the usual that is trouble
 	strainFor   = 12000.0 // ms of it under a build until that goes back
 	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
@@ -686,19 +686,17 @@
 // guards against builds that are slow but fail little; it is blind where nodes report no such thing.
 func (b *Balancer) heavier(now float64) float64 {
 	tells := func(n *node) bool { return n.Health == Serving && n.work > 0 && !b.young(n, now) }
-	sum, rate, count := map[int]float64{}, map[int]float64{}, map[int]float64{}
+	sum, count := map[int]float64{}, map[int]float64{}
 	for _, n := range b.order {
 		if tells(n) && n.Ver < b.ver {
 			sum[n.Model] += n.work
-			rate[n.Model] += n.rate
 			count[n.Model]++
 		}
 	}
 	var ratios []float64
 	for _, n := range b.order {
 		if tells(n) && n.Ver == b.ver && count[n.Model] > 0 {
-			more := max(1, n.rate*count[n.Model]/max(rate[n.Model], 1e-9)) // shared by more, each takes longer
-			ratios = append(ratios, n.work*count[n.Model]/sum[n.Model]/more)
+			ratios = append(ratios, n.work*count[n.Model]/sum[n.Model])
 		}
 	}
 	if len(ratios) < 2 {
--- a/balance/state.go
+++ b/balance/state.go
@@ -92,7 +92,6 @@
 	pushed   sliding // work sent while cold
 	retest   float64 // when a sick node is next tried
 	work     float64 // what an invocation is for it, by its reports
-	rate     float64 // and how many it serves
 	penalty  float64 // and how long after that again
 	full     float64 // until when it is left alone
 }
@@ -100,18 +99,19 @@
 // failing is a node's share of failures, lately.
 func (n *node) failing() float64 { return (n.bad + 0.1) / (n.good + n.bad + 1) }
 
-// reported takes from a load report what one invocation is for the node: its service time or, where that is
-// not told, its busy share at its rate.
+// reported takes from a load report what one invocation is for the node: its busy share at its rate or, where
+// that is not told, its service time, less what comes of sharing its cores with as many as are there at once.
 func (n *node) reported(report map[string]float64) {
-	work, rate := report["service-ms"], report["rate"]
-	if work == 0 && rate > 0 {
-		work, rate = report["busy"]/rate, 1 // that does not hang on how many share the node
+	rate, work := report["rate"], 0.0
+	if busy := report["busy"]; busy > 0 && rate > 0 {
+		work = busy / rate
+	} else if service := report["service-ms"]; service > 0 {
+		work = service / (1 + service*rate/1000)
 	}
 	if work > 0 && n.work > 0 {
 		n.work += (work - n.work) * 0.2
-		n.rate += (rate - n.rate) * 0.2
 	} else if work > 0 {
-		n.work, n.rate = work, rate
+		n.work = work
 	}
 }
 
