--- a/balance/balance.go
+++ b/balance/balance.go
@@ -39,7 +39,6 @@
 	heavy       = 1.5     // times the work of the earlier build at which a build goes back
 	strained    = 0.25    // share of invocations missing their SLO time over the usual that is trouble
 	strainFor   = 12000.0 // ms of it under a build until that goes back
-	queueTimes  = 3.0     // times what it takes in calm times that may be spent so, if that is less
 	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
 )
 
@@ -380,7 +379,7 @@
 	b.slo += (b.ops[inv.op].num("slo-ms", 0) - b.slo) / min(100, b.slos+1)
 	b.slos++
 	out, living := b.living(inv.came)
-	room := max(leastOut, b.calm*calmTimes*living, b.pace*min(b.slo*queueFor, b.calmTook*queueTimes))
+	room := max(leastOut, b.calm*calmTimes*living, b.pace*b.slo*queueFor)
 	over := out >= room && inv.came-b.begun >= 2*interval
 	b.turned = b.turned || over
 	return over
@@ -492,7 +491,6 @@
 	} else if how == Succeeded {
 		n.good, n.bad, n.penalty = n.good*0.9+1, n.bad*0.9, 0
 		b.recent[inv.op] += (took - b.recent[inv.op]) * 0.05
-		b.lately += (took - b.lately) * 0.05
 		b.work.add(now, b.weigh(inv.cost))
 		if inv.key != "" && b.set.is("rollout.forward-only") && d.ver >= b.ver {
 			b.bound[inv.key] = max(b.bound[inv.key], d.ver) // also after its release: it can still go back
@@ -529,7 +527,6 @@
 		if !b.turned {
 			out, living := b.living(b.h.Now())
 			b.calm += (out/max(living, 1) - b.calm) * 0.1
-			b.calmTook += (b.lately - b.calmTook) * 0.1
 		}
 		b.turned = false
 		b.measure()
