The bound is wider for operations worth more for their work

Cause: under overload every operation was throttled alike, whatever it is worth. Kept; may hurt an operation worth little in a long overload.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -39,6 +39,7 @@
 	heavy       = 1.5     // times the work of the earlier build at which a build goes back
 	strained    = 0.25    // share of invocations missing their SLO time over the usual that is trouble
 	strainFor   = 12000.0 // ms of it under a build until that goes back
+	spared      = 0.4     // of the bound that is kept for the operations worth most
 	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
 )
 
@@ -380,11 +381,26 @@
 	b.slos++
 	out, living := b.living(inv.came)
 	room := max(leastOut, b.calm*calmTimes*living, b.pace*b.slo*queueFor)
-	over := out >= room && inv.came-b.begun >= 2*interval
+	over := out >= room*(1+spared*(b.yield(inv.op)-0.5)) && inv.came-b.begun >= 2*interval
 	b.turned = b.turned || over
 	return over
 }
 
+// yield is what an operation is worth for its work, against the operation worth most.
+func (b *Balancer) yield(op int) float64 {
+	worth := func(op int) float64 {
+		if b.set.text("worth-by", "") == "work" {
+			return b.ops[op].num("billed-value", 1)
+		}
+		return b.ops[op].num("billed-value", 1) / max(b.recent[op], 1)
+	}
+	most := 0.0
+	for o := range b.ops {
+		most = max(most, worth(o))
+	}
+	return worth(op) / most
+}
+
 // living counts the nodes that answer, and what is out there: what is out at others waits for nothing.
 func (b *Balancer) living(now float64) (out, nodes float64) {
 	for _, n := range b.order {
