--- a/balance/balance.go
+++ b/balance/balance.go
@@ -39,7 +39,7 @@
 	heavy       = 1.5     // times the work of the earlier build at which a build goes back
 	strained    = 0.25    // share of invocations missing their SLO time over the usual that is trouble
 	strainFor   = 12000.0 // ms of it under a build until that goes back
-	spared      = 0.4     // of the bound that is kept for the operations worth most
+	spared      = 0.7     // of the bound that is kept for the operations worth most
 	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
 )
 
@@ -381,7 +381,7 @@
 	b.slos++
 	out, living := b.living(inv.came)
 	room := max(leastOut, b.calm*calmTimes*living, b.pace*b.slo*queueFor)
-	over := out >= room*(1+spared*(b.yield(inv.op)-0.5)) && inv.came-b.begun >= 2*interval
+	over := out >= room*(1+spared*(b.yield(inv.op)-0.7)) && inv.came-b.begun >= 2*interval
 	b.turned = b.turned || over
 	return over
 }
