--- a/balance/balance.go
+++ b/balance/balance.go
@@ -229,10 +229,7 @@
 func (b *Balancer) mayExpose(ver, op int, now float64) bool {
 	stage, cap := b.stage, b.cap
 	if ver != b.ver || !b.announced {
-		stage, cap = 0, 0
-		if caps := b.set.nums("rollout.most-shares"); len(caps) > 0 {
-			cap = caps[0]
-		}
+		stage, cap = 0, append(slices.Clone(b.set.nums("rollout.most-shares")), 0)[0]
 	}
 	if cap <= 0 || float64(stage) < b.set.num("rollout.shielded", math.Inf(1)) &&
 		b.ops[op].text("repeat", "") != "idempotent" {
@@ -251,15 +248,6 @@
 	return used+1 <= free+cap*b.takenBy(scope).since(now-over+margin)
 }
 
-// cold is the share of its capacity that a node may count on by now.
-func (b *Balancer) cold(n *node, now float64) float64 {
-	from := b.set.num("rules.cold-from", 0.1)
-	if n.Started <= 0 {
-		return 1
-	}
-	return min(1, from+(1-from)*max(0, now-n.Started)/b.set.num("rules.warm-up-ms", 10000))
-}
-
 func (b *Balancer) young(n *node, now float64) bool { return n.Started > 0 && now-n.Started < readyAge }
 
 // tooCold keeps a starting node from being pushed over: what this marshal sends it within the rule's window
@@ -324,12 +312,11 @@
 	if b.set.num("prices.cross-zone", 0) <= 0 {
 		return pool
 	}
-	zone := int(b.set.num("zone", 0))
 	var near []*node
 	least, leastNear := math.Inf(1), math.Inf(1)
 	for _, n := range pool {
 		least = min(least, b.load(n, now))
-		if n.Zone == zone {
+		if n.Zone == int(b.set.num("zone", 0)) {
 			near = append(near, n)
 			leastNear = min(leastNear, b.load(n, now))
 		}
@@ -388,17 +375,14 @@
 
 // yield is what an operation is worth for its work, against the operation worth most.
 func (b *Balancer) yield(op int) float64 {
-	worth := func(op int) float64 {
-		if b.set.text("worth-by", "") == "work" {
-			return b.ops[op].num("billed-value", 1)
-		}
-		return b.ops[op].num("billed-value", 1) / max(b.recent[op], 1)
-	}
-	most := 0.0
+	worth := make([]float64, len(b.ops))
 	for o := range b.ops {
-		most = max(most, worth(o))
+		worth[o] = b.ops[o].num("billed-value", 1)
+		if b.set.text("worth-by", "") != "work" {
+			worth[o] /= max(b.recent[o], 1)
+		}
 	}
-	return worth(op) / most
+	return worth[op] / max(slices.Max(worth), 1e-9)
 }
 
 // living counts the nodes that answer, and what is out there: what is out at others waits for nothing.
@@ -431,9 +415,8 @@
 
 // giveUp gives the final answer of an invocation that will get no further dispatch.
 func (b *Balancer) giveUp(inv *invocation) {
-	op := b.ops[inv.op]
-	harmless := op.text("repeat", "") == "idempotent" ||
-		op.text("repeat", "") == "fingerprinted" && op.text("group", "") == "all"
+	repeat, group := b.ops[inv.op].text("repeat", ""), b.ops[inv.op].text("group", "")
+	harmless := repeat == "idempotent" || repeat == "fingerprinted" && group == "all"
 	b.finish(inv)
 	b.missed(true)
 	if harmless || !inv.mayHaveRun() {
--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -156,6 +156,25 @@
 	// 102000  throttle x39
 }
 
+// Of two operations the one worth less for its work is throttled first.
+func Example_worthFirst() {
+	op := func(worth float64) Settings {
+		return Settings{"repeat": "idempotent", "slo-ms": 500.0, "billed-value": worth}
+	}
+	s := begin("", Settings{"worth-by": "work", "operations": []Settings{op(1), op(5)}})
+	s.serve(100, "w", well)
+	s.mute = true
+	count := [2]int{}
+	for i := range 60 {
+		inv := fmt.Sprint("x", i)
+		s.b.Arrived(inv, i%2, 0, "", 1000, 0, false, false)
+		count[i%2] += s.sent[inv]
+	}
+	fmt.Println("dispatched of 30 each:", count)
+	// Output:
+	// dispatched of 30 each: [5 11]
+}
+
 // The trial build gets no more than allowance and cap allow; in a shielded stage only what is idempotent.
 func Example_exposure() {
 	for _, shielded := range []float64{0, 1} {
@@ -278,7 +297,7 @@
 	// 107000  vote back on build 2 at stage 0
 }
 
-// Trouble that begins under a build and lasts sends it back, though both builds fail alike: it may slow them all.
+// Trouble that begins under a build and lasts sends it back, though both builds fail alike.
 func Example_troubleUnderBuild() {
 	s := begin("idempotent", nil)
 	s.serve(300, "w", well)
--- a/balance/state.go
+++ b/balance/state.go
@@ -179,6 +179,15 @@
 	return count
 }
 
+// cold is the share of its capacity that a node may count on by now.
+func (b *Balancer) cold(n *node, now float64) float64 {
+	from := b.set.num("rules.cold-from", 0.1)
+	if n.Started <= 0 {
+		return 1
+	}
+	return min(1, from+(1-from)*max(0, now-n.Started)/b.set.num("rules.warm-up-ms", 10000))
+}
+
 // medianFailing is the lower median of the shares of failures of the serving nodes for which something holds.
 func (b *Balancer) medianFailing(holds func(*node) bool) float64 {
 	var shares []float64
