--- a/balance/balance.go
+++ b/balance/balance.go
@@ -36,7 +36,7 @@
 	fullFor     = 100.0   // ms a node is left alone that turned something away unseen
 	spillAt     = 2.0     // load of a trial node against an earlier one's at which the earlier takes over
 	reportLag   = 3000.0  // ms that a node's report may tell of
-	heavy       = 1.5     // times the work of the earlier build at which a build goes back
+	heavy       = 1.7     // times the work of the earlier build at which a build goes back
 	strained    = 0.25    // share of invocations missing their SLO time over the usual that is trouble
 	strainFor   = 12000.0 // ms of it under a build until that goes back
 	spared      = 0.7     // of the bound that is kept for the operations worth most
