--- a/balance/balance.go
+++ b/balance/balance.go
@@ -39,7 +39,7 @@
 	heavy       = 1.7     // times the work of the earlier build at which a build goes back
 	strained    = 0.25    // share of invocations missing their SLO time over the usual that is trouble
 	strainFor   = 12000.0 // ms of it under a build until that goes back
-	spared      = 0.7     // of the bound that is kept for the operations worth most
+	spared      = 0.45    // of the bound that is kept for the operations worth most
 	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
 )
 
