--- a/balance/balance.go
+++ b/balance/balance.go
@@ -488,7 +488,7 @@
 	} else if how == Full {
 		n.full = now + fullFor
 	} else if how == Succeeded {
-		n.good, n.bad, n.penalty = n.good*0.9+1, n.bad*0.9, 0
+		n.good, n.bad, n.penalty = n.good*0.9+1, n.bad*0.9, n.penalty/2
 		b.recent[inv.op] += (took - b.recent[inv.op]) * 0.05
 		b.work.add(now, b.weigh(inv.cost))
 		if inv.key != "" && b.set.is("rollout.forward-only") && d.ver >= b.ver {
--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -172,7 +172,7 @@
 	}
 	fmt.Println("dispatched of 30 each:", count)
 	// Output:
-	// dispatched of 30 each: [5 11]
+	// dispatched of 30 each: [5 10]
 }
 
 // The trial build gets no more than allowance and cap allow; in a shielded stage only what is idempotent.
