--- a/balance/balance.go
+++ b/balance/balance.go
@@ -8,6 +8,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -90,7 +91,7 @@
 		b.share, b.metAt, b.strainSince = 0, math.Inf(1), now
 	}
 	if phase != OnTrial && phase != Released {
-		clear(b.bound)
+		maps.DeleteFunc(b.bound, func(_ string, to int) bool { return to <= ver }) // not those of a later one
 	}
 	b.ver, b.stage, b.phase, b.cap, b.announced = ver, stage, phase, cap, true
 	b.stageSince = now - age
--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -238,6 +238,25 @@
 	// 105120  dispatch again to node 1
 }
 
+// News that an earlier build went back, late, free no key that a later build has answered already.
+func Example_lateNews() {
+	s := begin("idempotent", Settings{"rollout.forward-only": true})
+	s.until(s.now + 5000)
+	s.b.Listed(true, []Node{{ID: 9, Ver: 3, Size: 1}})
+	s.b.Staged(2, 0, OnTrial, 0.1, 0, false)
+	s.arrive("w")
+	s.end("w", Succeeded)
+	s.b.Staged(2, 0, Withdrawn, 0, 0, false)
+	s.b.Listed(true, []Node{{ID: 1, Ver: 1, Size: 1}})
+	s.b.Arrived("again", 0, 0, "kw", 1000, 0, false, false)
+	s.until(s.now + 100)
+	s.b.Staged(3, 0, GoingBack, 0, 0, false)
+	s.until(s.now + 60)
+	// Output:
+	// 105000  dispatch w to node 9
+	// 105120  dispatch again to node 1
+}
+
 // A build that fails is voted back.
 func Example_back() {
 	s := begin("idempotent", nil)
