--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -197,6 +197,33 @@
 	// shielded 1: 0 of 200 in 4 s
 }
 
+// Where the cap counts by operation, what one operation leaves is not the other's.
+func Example_exposureByOperation() {
+	op := Settings{"repeat": "idempotent", "slo-ms": 500.0}
+	s := begin("", Settings{"rollout.cap-scope": "each_class", "operations": []Settings{op, op}})
+	s.until(s.now + 5000)
+	s.b.Listed(true, []Node{{ID: 9, Ver: 2, Size: 1}})
+	s.b.Staged(2, 0, OnTrial, 0.1, 0, false)
+	for i := range 4 {
+		s.b.Arrived(fmt.Sprint("a", i), i/3, 0, "", 1000, 0, false, false)
+	}
+	// Output:
+	// 105000  dispatch a0 to node 9
+	// 105000  dispatch a3 to node 9
+}
+
+// A marshal that has just started may have used its allowance up before: at first only the cap counts.
+func Example_restart() {
+	s := begin("idempotent", nil)
+	s.b.Listed(true, []Node{{ID: 9, Ver: 2, Size: 1}})
+	s.b.Staged(2, 0, OnTrial, 0.5, 0, false)
+	s.arrive("a")
+	s.arrive("b")
+	s.arrive("c")
+	// Output:
+	// 100000  dispatch b to node 9
+}
+
 // A build that the news do not name yet counts as in the first stage; at cap 0 nothing goes there.
 func Example_unannounced() {
 	s := begin("idempotent", nil)
