--- a/balance/balance.go
+++ b/balance/balance.go
@@ -135,7 +135,7 @@
 	now := b.h.Now()
 	left := inv.due - now
 	if inv.out() {
-		return // no site gains from two copies at once
+		return // two copies at once are not made use of
 	}
 	if left <= margin || len(inv.sent) >= int(b.set.num("limits.most-tries", 1)) {
 		b.giveUp(inv)
