--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -100,13 +100,16 @@
 		})
 		return
 	}
-	i := w.instances[who]
-	if i == nil {
-		if known[kind] {
-			return // for an instance that was killed
-		}
+	i, started := w.instances[who]
+	if !known[kind] {
 		panic(fault("unknown message"))
 	}
+	if !started {
+		panic(fault("field who: no such instance was started"))
+	}
+	if i == nil {
+		return // it was killed
+	}
 	i.guard(func() { i.event(kind, e) })
 }
 
@@ -165,7 +168,7 @@
 	case "peer-data":
 		i.b.Told(e.whole("from"), e.text("content"))
 	case "crash-now":
-		delete(i.wire.instances, i.who)
+		i.wire.instances[i.who] = nil
 	default:
 		panic(fault("unknown message"))
 	}
