Silence by the sum of the waits at a node, not by half the SLO time

At size a marshal has one dispatch out at a node; half the SLO time of silence struck living nodes and doubled the work. Covers hung, vanished and paused nodes; may hurt where one hung node holds a single long dispatch.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -40,6 +40,7 @@
 	heavy       = 1.7     // times the work of the earlier build at which a build goes back
 	strained    = 0.25    // share of invocations missing their SLO time over the usual that is trouble
 	strainFor   = 12000.0 // ms of it under a build until that goes back
+	silence     = 7.0     // mean latencies after which one dispatch unanswered makes its node silent
 	spared      = 0.45    // of the bound that is kept for the operations worth most
 	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
 )
@@ -298,14 +299,20 @@
 // sick nodes get one dispatch at a time, and after each failure the next one later.
 func (b *Balancer) sick(n *node) bool { return n.failing() > b.median+sickBy }
 
-// silent says that a node has answered nothing since its oldest dispatch went out, for too long.
+// silent says that a node that lives would have answered something by now: were its answers to come at random
+// after the operation's mean latency, the chance that all that is out stays out falls with the waits' sum. Of
+// many out one long wait decides; a trickle to a large fleet has to wait for several latencies.
 func (b *Balancer) silent(n *node, now float64) bool {
-	if len(n.open) == 0 {
-		return false
+	waits := 0.0
+	for _, o := range n.open {
+		waits += (now - max(n.answered, o.inv.sent[o.no].sent)) / b.patience(o.inv.op)
 	}
-	o := n.open[0]
-	since := max(n.answered, o.inv.sent[o.no].sent)
-	return now-since > b.tooLong(o.inv.op)
+	return waits >= 1
+}
+
+// patience is how long one dispatch alone may stay unanswered until its node counts as silent.
+func (b *Balancer) patience(op int) float64 {
+	return max(b.ops[op].num("slo-ms", 0)*0.5, silence*b.recent[op])
 }
 
 // nearby keeps to the own zone where crossing has a price, unless nothing there is free.
@@ -338,7 +345,7 @@
 		}
 		for _, o := range slices.Clone(n.open) {
 			d := &o.inv.sent[o.no]
-			if !o.inv.finished && now-d.sent > b.tooLong(o.inv.op) && b.repeatable(o.inv, now) {
+			if !o.inv.finished && now-d.sent > b.patience(o.inv.op)/2 && b.repeatable(o.inv, now) {
 				b.h.Cancel(o.inv.id, o.no)
 				d.left = true
 			}
@@ -346,10 +353,6 @@
 	}
 }
 
-func (b *Balancer) tooLong(op int) float64 {
-	return max(b.ops[op].num("slo-ms", 0)*0.5, 3*b.recent[op])
-}
-
 // repeatable says that some other node could be sent this invocation now.
 func (b *Balancer) repeatable(inv *invocation, now float64) bool {
 	if len(inv.sent) >= int(b.set.num("limits.most-tries", 1)) || inv.sent[len(inv.sent)-1].left {
