Mean latency by count from a first guess

It began at 0 and crept up by 5% an answer; marshals with a trickle struck living nodes for many seconds.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -41,6 +41,7 @@
 	strained    = 0.25    // share of invocations missing their SLO time over the usual that is trouble
 	strainFor   = 12000.0 // ms of it under a build until that goes back
 	silence     = 7.0     // mean latencies after which one dispatch unanswered makes its node silent
+	firstGuess  = 4.0     // of the SLO time one part is taken for the latency before any is known
 	spared      = 0.45    // of the bound that is kept for the operations worth most
 	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
 )
@@ -58,7 +59,10 @@
 	b := &Balancer{h: h, set: settings, ops: settings.parts("operations"), rnd: rand.New(pcg.New(seed)),
 		nodes: map[uint32]*node{}, invs: map[string]*invocation{}, begun: h.Now(), taken: map[int]*sliding{},
 		exposed: map[exposure]*sliding{}, bound: map[string]int{}, posteriors: map[int][]posterior{}}
-	b.recent = make([]float64, len(b.ops))
+	b.recent, b.seenOf = make([]float64, len(b.ops)), make([]float64, len(b.ops))
+	for op := range b.ops { // until told better
+		b.recent[op], b.seenOf[op] = b.ops[op].num("slo-ms", 0)/firstGuess, 1
+	}
 	if settings.text("discovery", "subscribe") == "subscribe" {
 		h.Watch(true)
 	}
@@ -493,7 +497,8 @@
 		n.full = now + fullFor
 	} else if how == Succeeded {
 		n.good, n.bad, n.penalty = n.good*0.9+1, n.bad*0.9, n.penalty/2
-		b.recent[inv.op] += (took - b.recent[inv.op]) * 0.05
+		b.seenOf[inv.op]++
+		b.recent[inv.op] += (took - b.recent[inv.op]) * max(0.05, 1/b.seenOf[inv.op])
 		b.work.add(now, b.weigh(inv.cost))
 		if inv.key != "" && b.set.is("rollout.forward-only") && d.ver >= b.ver {
 			b.bound[inv.key] = max(b.bound[inv.key], d.ver) // also after its release: it can still go back
--- a/balance/state.go
+++ b/balance/state.go
@@ -34,6 +34,7 @@
 	posteriors          map[int][]posterior // by build, one for each operation
 	served              float64             // work a warm node does for this marshal, a ms
 	recent              []float64           // latency of each operation on the whole fleet, fading
+	seenOf              []float64           // and of how many answers it is
 	work                sliding
 	ends                sliding // those that have, lately
 	pace                float64 // and how many a ms
