--- a/balance/balance.go
+++ b/balance/balance.go
@@ -150,7 +150,7 @@
 	// Which nodes may have it: the list, the repeat rules, the cold nodes' budget, the cap.
 	var trial, earlier []*node
 	for _, n := range b.order {
-		if n.Health != Serving || now < n.full || !b.mayFollow(inv, n, now) || b.tooCold(n, inv.cost, now) {
+		if n.Health != Serving || now < n.full || !b.mayFollow(inv, n, now) || b.tooCold(n, now) {
 			continue
 		}
 		if b.onTrial(n.Ver) {
@@ -258,14 +258,16 @@
 
 // tooCold keeps a starting node from being pushed over: what this marshal sends it within the rule's window
 // stays under the multiple of what a warm node does for this marshal, so the marshals together stay under it.
-func (b *Balancer) tooCold(n *node, cost, now float64) bool {
+// That may be less than one invocation: then so many of the marshals send one that it is right on the whole, by
+// a lot drawn for each node. It guards against hundreds of marshals that each round up, and against none daring.
+func (b *Balancer) tooCold(n *node, now float64) bool {
 	part := b.cold(n, now)
 	if part >= 1 {
 		return false
 	}
 	over := b.set.num("rules.fall-ms", 2000)
 	room := 0.7 * b.set.num("rules.fall-multiple", 1) * part * over * b.served
-	return n.pushed.since(now-over)+b.weigh(cost)/2 > room
+	return n.pushed.since(now-over)+n.lot*b.usualCost > room // not by its own cost: the light would fill it up
 }
 
 // pick makes two random choices among the healthy and near by what is in flight.
@@ -372,8 +374,9 @@
 // as a whole, whatever the cause. What was out in calm times is never too much: answers that come slowly for
 // another reason than waiting would otherwise leave the fleet idle. It may hurt when half the fleet is gone.
 func (b *Balancer) overloaded(inv *invocation) bool {
-	b.slo += (b.ops[inv.op].num("slo-ms", 0) - b.slo) / min(100, b.slos+1)
-	b.slos++
+	b.arrived++
+	b.slo += (b.ops[inv.op].num("slo-ms", 0) - b.slo) / min(100, b.arrived)
+	b.usualCost += (b.weigh(inv.cost) - b.usualCost) / min(100, b.arrived)
 	out, living := b.living(inv.came)
 	room := max(leastOut, b.calm*calmTimes*living, b.pace*b.slo*queueFor)
 	over := out >= room*(1+spared*(b.yield(inv.op)-0.7)) && inv.came-b.begun >= 2*interval
--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -28,9 +28,9 @@
 		s.end("a", Failed)
 	}
 	// Output:
-	// 100000  dispatch a to node 2
-	// 100000  dispatch a to node 4
 	// 100000  dispatch a to node 1
+	// 100000  dispatch a to node 4
+	// 100000  dispatch a to node 2
 	// 100000  dispatch a to node 3
 	// 100000  throttle a
 }
@@ -44,10 +44,10 @@
 	s.arrive("b")
 	s.end("b", Succeeded)
 	// Output:
-	// 100000  dispatch a to node 2
+	// 100000  dispatch a to node 1
 	// 100000  dispatch a to node 4
 	// 100000  terminate a
-	// 100000  dispatch b to node 1
+	// 100000  dispatch b to node 2
 }
 
 // A fingerprinted one that may have run goes again in its zone only, and only while the nodes remember it.
@@ -61,13 +61,13 @@
 	s.until(s.now + 3001)
 	s.end("b", TimedOut)
 	// Output:
-	// 100000  dispatch a to node 2
 	// 100000  dispatch a to node 1
+	// 100000  dispatch a to node 2
 	// 100000  dispatch a to node 1
 	// the next one is answered after the memory window
-	// 100000  dispatch b to node 3
-	// 100300  cancel a dispatch 2
-	// 100300  cancel b dispatch 0
+	// 100000  dispatch b to node 4
+	// 100900  cancel a dispatch 2
+	// 100900  cancel b dispatch 0
 	// 103001  terminate b
 }
 
@@ -78,7 +78,7 @@
 	s.arrive("a")
 	s.until(s.now + 1000)
 	// Output:
-	// 100500  throttle a
+	// 100380  throttle a
 }
 
 // Nothing new goes to a node that drains.
@@ -137,8 +137,7 @@
 	s.end("a", Canceled)
 	s.end("a", Succeeded)
 	// Output:
-	// 100000  dispatch a to node 2
-	// 100300  cancel a dispatch 0
+	// 100000  dispatch a to node 1
 	// 100400  dispatch a to node 4
 }
 
@@ -152,7 +151,7 @@
 		s.arrive(fmt.Sprint("x", i))
 	}
 	// Output:
-	// 102000  dispatch x0 to node 3
+	// 102000  dispatch x0 to node 2
 	// 102000  throttle x39
 }
 
@@ -466,5 +465,5 @@
 	s.until(s.now + 4000)
 	// Output:
 	// 100000  watch the list
-	// 102859  watch the list
+	// 102191  watch the list
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -39,7 +39,8 @@
 	ends                sliding // those that have, lately
 	pace                float64 // and how many a ms
 	calm                float64 // what was out at a node while nothing was turned away, fading
-	slo, slos           float64 // the mean SLO time of what arrives, and how many that is of
+	slo, usualCost      float64 // the mean SLO time and cost of what arrives
+	arrived             float64
 	misses, missesUsual float64 // share of invocations not answered in time, lately and usually
 	strainSince         float64 // since when it is far over the usual
 	metAt               float64 // when the newest build first answered
@@ -91,6 +92,7 @@
 	good     float64   // recent outcomes, fading
 	bad      float64
 	pushed   sliding // work sent while cold
+	lot      float64 // drawn for this start of it, for what is left over of its budget
 	retest   float64 // when a sick node is next tried
 	work     float64 // what an invocation is for it, by its reports
 	penalty  float64 // and how long after that again
@@ -296,7 +298,7 @@
 		named[l.ID] = true
 		n := b.nodes[l.ID]
 		if n == nil {
-			n = &node{told: now}
+			n = &node{told: now, lot: b.rnd.Float64()}
 			b.nodes[l.ID] = n
 			i, _ := slices.BinarySearchFunc(b.order, l.ID, func(o *node, id uint32) int {
 				return int(int64(o.ID) - int64(id))
@@ -307,6 +309,7 @@
 		}
 		if n.Started != l.Started || n.Ver != l.Ver { // another process, perhaps another machine
 			n.good, n.bad, n.retest, n.penalty, n.work, n.answered = 0, 0, 0, 0, 0, now
+			n.lot = b.rnd.Float64()
 		}
 		n.Node, n.told = l, now
 	}
