--- a/balance/balance.go
+++ b/balance/balance.go
@@ -7,6 +7,7 @@
 package balance
 
 import (
+	"fmt"
 	"hash/fnv"
 	"maps"
 	"math"
@@ -42,6 +43,7 @@
 	strainFor   = 12000.0 // ms of it under a build until that goes back
 	silence     = 7.0     // mean latencies after which one dispatch unanswered makes its node silent
 	firstGuess  = 4.0     // of the SLO time one part is taken for the latency before any is known
+	jamTimes    = 1.5     // invocations taken for one answered in time, beyond which some are turned away
 	spared      = 0.45    // of the bound that is kept for the operations worth most
 	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
 )
@@ -58,7 +60,7 @@
 func New(h Host, settings Settings, seed uint64) *Balancer {
 	b := &Balancer{h: h, set: settings, ops: settings.parts("operations"), rnd: rand.New(pcg.New(seed)),
 		nodes: map[uint32]*node{}, invs: map[string]*invocation{}, begun: h.Now(), taken: map[int]*sliding{},
-		exposed: map[exposure]*sliding{}, bound: map[string]int{}, posteriors: map[int][]posterior{}}
+		exposed: map[exposure]*sliding{}, bound: map[string]int{}, tallied: map[int][]posterior{}, posteriors: map[int][]posterior{}}
 	b.recent, b.seenOf = make([]float64, len(b.ops)), make([]float64, len(b.ops))
 	for op := range b.ops { // until told better
 		b.recent[op], b.seenOf[op] = b.ops[op].num("slo-ms", 0)/firstGuess, 1
@@ -379,7 +381,10 @@
 	b.usualCost += (b.weigh(inv.cost) - b.usualCost) / min(100, b.arrived)
 	out, living := b.living(inv.came)
 	room := max(leastOut, b.calm*calmTimes*living, b.pace*b.slo*queueFor)
-	over := out >= room*(1+spared*(b.yield(inv.op)-0.7)) && inv.came-b.begun >= 2*interval
+	part := 1 + spared*(b.yield(inv.op)-0.7)
+	over := out >= room*part && inv.came-b.begun >= 2*interval
+	// Of few out a bound tells nothing: what came to nothing of late is then turned away in part, by chance.
+	over = over || b.rnd.Float64()*part < 1-jamTimes*(1-b.jam)
 	b.turned = b.turned || over
 	return over
 }
@@ -430,6 +435,7 @@
 	harmless := repeat == "idempotent" || repeat == "fingerprinted" && group == "all"
 	b.finish(inv)
 	b.missed(true)
+	b.jam += (1 - b.jam) * 0.03
 	if harmless || !inv.mayHaveRun() {
 		b.h.Throttle(inv.id, 200)
 	} else {
@@ -440,6 +446,9 @@
 // Lapsed says that the client of an invocation is gone.
 func (b *Balancer) Lapsed(id string) {
 	if inv := b.invs[id]; inv != nil {
+		if !inv.finished {
+			b.jam += (1 - b.jam) * 0.03
+		}
 		b.finish(inv)
 	}
 }
@@ -475,7 +484,13 @@
 	}
 	b.learn(inv, d, how, took, now)
 	if done && !inv.finished {
-		b.missed(how != Succeeded || now-inv.came > b.ops[inv.op].num("slo-ms", 0))
+		late := now-inv.came > b.ops[inv.op].num("slo-ms", 0)
+		b.missed(how != Succeeded || late)
+		if late {
+			b.jam += (1 - b.jam) * 0.03
+		} else {
+			b.jam -= b.jam * 0.03
+		}
 	}
 	if done || inv.finished {
 		b.finish(inv)
@@ -620,16 +635,21 @@
 	standing := b.vote == Back && b.voteVer == b.ver && now < b.voteUntil
 	due := now-b.stageSince >= blindAfter && !standing && b.seen(now) && b.strainSince == now
 	switch {
-	case n >= leastJudge && worse >= confidence, b.heavier(now) >= heavy,
-		now-b.strainSince >= strainFor && b.strainSince > b.metAt:
-		b.cast(Back, now)
+	case n >= leastJudge && worse >= confidence:
+		b.cast(Back, now, "trails in success")
+	case b.heavier(now) >= heavy:
+		b.cast(Back, now, "needs more work")
+	case now-b.strainSince >= strainFor && b.strainSince > b.metAt:
+		b.cast(Back, now, "long trouble under it")
 	case b.set.text("rollout.gate-mode", "") == "clock":
 		if n >= leastJudge && bad > 0 && worse > 0.5 {
-			b.cast(Hold, now)
+			b.cast(Hold, now, "may trail")
 		}
 	case b.phase != OnTrial:
-	case n >= leastJudge && fine >= confidence, due:
-		b.cast(On, now)
+	case n >= leastJudge && fine >= confidence:
+		b.cast(On, now, "keeps up")
+	case due:
+		b.cast(On, now, "no verdict")
 	}
 }
 
@@ -641,7 +661,7 @@
 		return 0, 0, 0, 0
 	}
 	fine = 1
-	now, then := b.posterior(b.ver), b.posterior(before)
+	now, then := b.evidence(b.ver), b.evidence(before)
 	n, bad = now[len(b.ops)].good+now[len(b.ops)].bad, now[len(b.ops)].bad
 	for op := range now { // each operation, and all of them together
 		p, q := now[op], then[op]
@@ -723,18 +743,51 @@
 }
 
 // cast votes on a change or when the vote has lapsed, paced within the platform's allowance.
-func (b *Balancer) cast(v Verdict, now float64) {
+func (b *Balancer) cast(v Verdict, now float64, why string) {
 	same := b.vote == v && b.voteVer == b.ver && (v == Back || b.voteStage == b.stage)
 	if b.voteOut || now < b.voteNext || same && now < b.voteUntil {
 		return
 	}
 	pace := 2000 * b.set.num("marshals", 1) / max(b.set.num("rollout.api-rate", 1), 0.1)
 	b.vote, b.voteVer, b.voteStage, b.voteOut, b.voteNext = v, b.ver, b.stage, true, now+max(pace, interval)
+	b.h.Log(fmt.Sprintf("vote %d on build %d at stage %d: %s", v, b.ver, b.stage, why))
 	b.h.Vote(b.ver, b.stage, v)
 }
 
-// Probed, Tallied, Flagged and Told bring what no decision has been shown to gain from yet: docs/design.md.
+// Tallied brings what the platform counted of all marshals' dispatches. A build's first tally opens the
+// comparison: the earlier ones are counted from then on, so that both tell of the same time.
+func (b *Balancer) Tallied(ver, op, samples, errors int, mean, age float64) {
+	if op >= len(b.ops) {
+		return
+	}
+	if b.tallied[ver] == nil {
+		if ver > b.tallyVer {
+			clear(b.tallied)
+			b.tallyVer = ver
+		}
+		b.tallied[ver] = make([]posterior, len(b.ops)+1)
+	}
+	for _, p := range []*posterior{&b.tallied[ver][op], &b.tallied[ver][len(b.ops)]} {
+		good := float64(samples - errors)
+		p.good += good
+		p.bad += float64(errors)
+		p.n += good
+		p.mean += (mean - p.mean) * good / max(p.n, 1)
+	}
+}
+
+// evidence on a build is the marshal's own outcomes and, where the platform tells them, the whole fleet's. Where
+// one vote decides, the marshal with the worst luck of hundreds would decide by its few outcomes alone.
+func (b *Balancer) evidence(ver int) []posterior {
+	all := slices.Clone(b.posterior(ver))
+	for op, t := range b.tallied[ver] {
+		all[op].good += t.good
+		all[op].bad += t.bad
+	}
+	return all
+}
+
+// Probed, Flagged and Told bring what no decision has been shown to gain from yet: docs/design.md.
 func (b *Balancer) Probed(id uint32, how Ending, took float64, report map[string]float64) {}
-func (b *Balancer) Tallied(ver, op, samples, errors int, mean, age float64)               {}
 func (b *Balancer) Flagged(id uint32, op int, age float64)                                {}
 func (b *Balancer) Told(from int, text string)                                            {}
--- a/balance/state.go
+++ b/balance/state.go
@@ -32,6 +32,8 @@
 	boundVer   int
 
 	posteriors          map[int][]posterior // by build, one for each operation
+	tallied             map[int][]posterior // the same by the platform's counts
+	tallyVer            int                 // the newest build counted
 	served              float64             // work a warm node does for this marshal, a ms
 	recent              []float64           // latency of each operation on the whole fleet, fading
 	seenOf              []float64           // and of how many answers it is
@@ -42,6 +44,7 @@
 	slo, usualCost      float64 // the mean SLO time and cost of what arrives
 	arrived             float64
 	misses, missesUsual float64 // share of invocations not answered in time, lately and usually
+	jam                 float64 // share of invocations late or given up, lately
 	strainSince         float64 // since when it is far over the usual
 	metAt               float64 // when the newest build first answered
 	median              float64 // of the nodes' shares of failures
