A part crosses to a zone that answers more in time by more than the price

Before, a marshal kept to its own zone until two more were in flight there, which a trickle never reaches. Covers shifts, slow links, lost nodes of one zone.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -44,6 +44,7 @@
 	silence     = 7.0     // mean latencies after which one dispatch unanswered makes its node silent
 	firstGuess  = 4.0     // of the SLO time one part is taken for the latency before any is known
 	jamTimes    = 1.5     // invocations taken for one answered in time, beyond which some are turned away
+	crossing    = 2.0     // part that crosses, for each part more that is answered soon there
 	spared      = 0.45    // of the bound that is kept for the operations worth most
 	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
 )
@@ -60,7 +61,7 @@
 func New(h Host, settings Settings, seed uint64) *Balancer {
 	b := &Balancer{h: h, set: settings, ops: settings.parts("operations"), rnd: rand.New(pcg.New(seed)),
 		nodes: map[uint32]*node{}, invs: map[string]*invocation{}, begun: h.Now(), taken: map[int]*sliding{},
-		exposed: map[exposure]*sliding{}, bound: map[string]int{}, tallied: map[int][]posterior{}, posteriors: map[int][]posterior{}}
+		exposed: map[exposure]*sliding{}, late: map[int]float64{}, bound: map[string]int{}, tallied: map[int][]posterior{}, posteriors: map[int][]posterior{}}
 	b.recent, b.seenOf = make([]float64, len(b.ops)), make([]float64, len(b.ops))
 	for op := range b.ops { // until told better
 		b.recent[op], b.seenOf[op] = b.ops[op].num("slo-ms", 0)/firstGuess, 1
@@ -323,26 +324,42 @@
 	return max(b.ops[op].num("slo-ms", 0)*0.5, silence*b.recent[op])
 }
 
-// nearby keeps to the own zone where crossing has a price, unless nothing there is free.
+// nearby keeps to the own zone where crossing has a price, unless nothing there is free or so much less is
+// answered soon there than in another zone that crossing pays; then a part crosses, more with the difference.
+// It guards against traffic that moves to one zone, lost nodes and slow links alike: a zone behind a slow link
+// does not look better. It may hurt where a zone is slow for a moment only.
 func (b *Balancer) nearby(pool []*node, now float64) []*node {
-	if b.set.num("prices.cross-zone", 0) <= 0 {
+	price, own := b.set.num("prices.cross-zone", 0), int(b.set.num("zone", 0))
+	if price <= 0 {
 		return pool
 	}
-	var near []*node
-	least, leastNear := math.Inf(1), math.Inf(1)
+	least, leastNear, far := math.Inf(1), math.Inf(1), own
 	for _, n := range pool {
 		least = min(least, b.load(n, now))
-		if n.Zone == int(b.set.num("zone", 0)) {
-			near = append(near, n)
+		if n.Zone == own {
 			leastNear = min(leastNear, b.load(n, now))
+		} else if far == own || b.soon(n.Zone) > b.soon(far) {
+			far = n.Zone
 		}
 	}
-	if len(near) == 0 || leastNear > least+2 {
+	to := own
+	if gain := b.soon(far) - b.soon(own) - price; gain > 0 && b.rnd.Float64() < crossing*gain {
+		to = far
+	} else if math.IsInf(leastNear, 1) || leastNear > least+2 {
 		return pool
 	}
-	return near
+	var there []*node
+	for _, n := range pool {
+		if n.Zone == to {
+			there = append(there, n)
+		}
+	}
+	return there
 }
 
+// soon is the share of dispatches to a zone that are answered within the SLO time, lately.
+func (b *Balancer) soon(zone int) float64 { return 1 - b.late[zone] }
+
 // desert stops waiting for dispatches at silent nodes whose invocations may be sent again: a time limit would
 // also strike what only waits its turn at a busy node, and doing that work twice makes the node busier still.
 // It guards against hung, vanished and long-paused nodes; it may hurt where one answer takes far longer.
@@ -505,6 +522,13 @@
 	if how != TimedOut && how != NoConnect && how != Ignored && how != Canceled {
 		n.answered = now
 	}
+	if how != Failed && how != Ignored && !d.short {
+		late := 0.0
+		if how != Succeeded || took > b.ops[inv.op].num("slo-ms", 0) {
+			late = 1
+		}
+		b.late[n.Zone] += (late - b.late[n.Zone]) * 0.05
+	}
 	failed := how == Failed || how == TimedOut && !d.short || how == Reset
 	if failed || how == NoConnect || how == Canceled {
 		n.bad = n.bad*0.9 + 1
@@ -555,6 +579,9 @@
 			b.calm += (out/max(living, 1) - b.calm) * 0.1
 		}
 		b.turned = false
+		for zone, late := range b.late { // forgotten bit by bit, so that a zone is tried again
+			b.late[zone] = late * 0.98
+		}
 		b.measure()
 		b.setShare()
 		b.judge()
--- a/balance/state.go
+++ b/balance/state.go
@@ -43,12 +43,13 @@
 	calm                float64 // what was out at a node while nothing was turned away, fading
 	slo, usualCost      float64 // the mean SLO time and cost of what arrives
 	arrived             float64
-	misses, missesUsual float64 // share of invocations not answered in time, lately and usually
-	jam                 float64 // share of invocations late or given up, lately
-	strainSince         float64 // since when it is far over the usual
-	metAt               float64 // when the newest build first answered
-	median              float64 // of the nodes' shares of failures
-	turned              bool    // something was turned away in this interval
+	misses, missesUsual float64         // share of invocations not answered in time, lately and usually
+	jam                 float64         // share of invocations late or given up, lately
+	late                map[int]float64 // share of dispatches to a zone not answered soon, lately
+	strainSince         float64         // since when it is far over the usual
+	metAt               float64         // when the newest build first answered
+	median              float64         // of the nodes' shares of failures
+	turned              bool            // something was turned away in this interval
 
 	vote      Verdict // the vote that stands or is on its way
 	voteVer   int
