--- a/balance/balance.go
+++ b/balance/balance.go
@@ -32,7 +32,7 @@
 	blindAfter  = 4000.0  // ms of a stage without verdict until it is voted on
 	readyAge    = 5000.0  // ms since its start until a node's outcomes are evidence
 	margin      = 10.0    // ms kept before a client's own time is up
-	leastOut    = 8.0     // dispatches out that are never too many
+	leastOut    = 3.0     // dispatches out that are never too many
 	calmTimes   = 1.5     // what may be out, against the mean of calm times
 	sickBy      = 0.3     // share of failures over the median that makes a node sick
 	fullFor     = 100.0   // ms a node is left alone that turned something away unseen
@@ -43,8 +43,9 @@
 	strainFor   = 12000.0 // ms of it under a build until that goes back
 	silence     = 7.0     // mean latencies after which one dispatch unanswered makes its node silent
 	firstGuess  = 4.0     // of the SLO time one part is taken for the latency before any is known
-	jamTimes    = 1.5     // invocations taken for one answered in time, beyond which some are turned away
+	jamTimes    = 2       // invocations taken for one answered in time, beyond which some are turned away
 	crossing    = 2.0     // part that crosses, for each part more that is answered soon there
+	chance      = 1.5     // roots of the bound that are added to it
 	spared      = 0.45    // of the bound that is kept for the operations worth most
 	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
 )
@@ -61,7 +62,7 @@
 func New(h Host, settings Settings, seed uint64) *Balancer {
 	b := &Balancer{h: h, set: settings, ops: settings.parts("operations"), rnd: rand.New(pcg.New(seed)),
 		nodes: map[uint32]*node{}, invs: map[string]*invocation{}, begun: h.Now(), taken: map[int]*sliding{},
-		exposed: map[exposure]*sliding{}, late: map[int]float64{}, bound: map[string]int{}, tallied: map[int][]posterior{}, posteriors: map[int][]posterior{}}
+		exposed: map[exposure]*sliding{}, late: map[int]float64{}, bound: map[string]int{}, period: map[exposure]posterior{}, posteriors: map[int][]posterior{}}
 	b.recent, b.seenOf = make([]float64, len(b.ops)), make([]float64, len(b.ops))
 	for op := range b.ops { // until told better
 		b.recent[op], b.seenOf[op] = b.ops[op].num("slo-ms", 0)/firstGuess, 1
@@ -97,6 +98,7 @@
 	}
 	if ver > b.ver || !b.announced {
 		b.share, b.metAt, b.strainSince = 0, math.Inf(1), now
+		b.fleet = [2][]posterior{make([]posterior, len(b.ops)+1), make([]posterior, len(b.ops)+1)}
 	}
 	if phase != OnTrial && phase != Released {
 		maps.DeleteFunc(b.bound, func(_ string, to int) bool { return to <= ver }) // not those of a later one
@@ -398,6 +400,7 @@
 	b.usualCost += (b.weigh(inv.cost) - b.usualCost) / min(100, b.arrived)
 	out, living := b.living(inv.came)
 	room := max(leastOut, b.calm*calmTimes*living, b.pace*b.slo*queueFor)
+	room += chance * math.Sqrt(room) // what is out of a trickle varies by its root
 	part := 1 + spared*(b.yield(inv.op)-0.7)
 	over := out >= room*part && inv.came-b.begun >= 2*interval
 	// Of few out a bound tells nothing: what came to nothing of late is then turned away in part, by chance.
@@ -551,6 +554,10 @@
 	if d.young && how != Failed && how != Succeeded || !failed && how != Succeeded {
 		return
 	}
+	// Crossing zones takes a link's trouble for the build's.
+	if n.Zone != int(b.set.num("zone", 0)) && how != Failed && how != Succeeded {
+		return
+	}
 	// A node that fails far more than others of its build is at fault itself, not its build.
 	if failed && n.failing() > sickBy+b.medianFailing(func(o *node) bool { return o.Ver == d.ver }) {
 		return
@@ -658,7 +665,17 @@
 	if b.misses < b.missesUsual+strained {
 		b.strainSince = now
 	}
-	fine, worse, n, bad := b.compare()
+	before := b.earlier()
+	if before < 0 {
+		return
+	}
+	b.settle()
+	fine, worse, n, bad := b.compare(b.posterior(b.ver), b.posterior(before))
+	// Where the fleet's outcomes are told, one of the two has to be sure and the other to agree. Else of hundreds
+	// of marshals the one with the worst luck decides, or one failing node in all that the fleet counts.
+	if fine2, worse2, n2, _ := b.compare(b.fleet[0], b.fleet[1]); n2 >= leastJudge {
+		fine, worse = agree(fine, fine2), agree(worse, worse2)
+	}
 	standing := b.vote == Back && b.voteVer == b.ver && now < b.voteUntil
 	due := now-b.stageSince >= blindAfter && !standing && b.seen(now) && b.strainSince == now
 	switch {
@@ -680,16 +697,22 @@
 	}
 }
 
+// agree is the surer of two chances, if the other does not speak against it.
+func agree(x, y float64) float64 {
+	if min(x, y) <= 0.5 {
+		return min(x, y)
+	}
+	return max(x, y)
+}
+
 // compare gives the chances that the newest build keeps up with the earlier one and that it is worse, over
 // all operations the least of the one and the greatest of the other, and its outcomes and failures.
-func (b *Balancer) compare() (fine, worse, n, bad float64) {
-	before := b.earlier()
-	if before < 0 {
-		return 0, 0, 0, 0
-	}
+func (b *Balancer) compare(now, then []posterior) (fine, worse, n, bad float64) {
 	fine = 1
-	now, then := b.evidence(b.ver), b.evidence(before)
 	n, bad = now[len(b.ops)].good+now[len(b.ops)].bad, now[len(b.ops)].bad
+	if n < leastJudge {
+		return 0, 0, n, bad
+	}
 	for op := range now { // each operation, and all of them together
 		p, q := now[op], then[op]
 		// Errors are also judged alone: overload adds time-outs to both builds, which would drown them.
@@ -781,37 +804,31 @@
 	b.h.Vote(b.ver, b.stage, v)
 }
 
-// Tallied brings what the platform counted of all marshals' dispatches. A build's first tally opens the
-// comparison: the earlier ones are counted from then on, so that both tell of the same time.
+// Tallied brings what the platform counted of all marshals' dispatches, a build and operation at a time.
 func (b *Balancer) Tallied(ver, op, samples, errors int, mean, age float64) {
-	if op >= len(b.ops) {
-		return
-	}
-	if b.tallied[ver] == nil {
-		if ver > b.tallyVer {
-			clear(b.tallied)
-			b.tallyVer = ver
-		}
-		b.tallied[ver] = make([]posterior, len(b.ops)+1)
-	}
-	for _, p := range []*posterior{&b.tallied[ver][op], &b.tallied[ver][len(b.ops)]} {
-		good := float64(samples - errors)
-		p.good += good
-		p.bad += float64(errors)
-		p.n += good
-		p.mean += (mean - p.mean) * good / max(p.n, 1)
+	if op < len(b.ops) {
+		b.period[exposure{ver, op}] = posterior{good: float64(samples - errors), bad: float64(errors)}
 	}
 }
 
-// evidence on a build is the marshal's own outcomes and, where the platform tells them, the whole fleet's. Where
-// one vote decides, the marshal with the worst luck of hundreds would decide by its few outcomes alone.
-func (b *Balancer) evidence(ver int) []posterior {
-	all := slices.Clone(b.posterior(ver))
-	for op, t := range b.tallied[ver] {
-		all[op].good += t.good
-		all[op].bad += t.bad
+// settle takes the last tallies as the fleet's evidence. Both builds must have been counted in the period, and
+// the earlier one weighs no more than a few times the newest: else a slow spell, a burst or an outage that falls
+// on a time when one of them had most of the traffic would count for or against the build.
+func (b *Balancer) settle() {
+	before := b.earlier()
+	for op := range b.ops {
+		p, q := b.period[exposure{b.ver, op}], b.period[exposure{before, op}]
+		n, m := p.good+p.bad, q.good+q.bad
+		if n == 0 || m == 0 {
+			continue
+		}
+		part := min(1, 3*n/m)
+		for _, o := range []int{op, len(b.ops)} {
+			b.fleet[0][o].add(p, 1)
+			b.fleet[1][o].add(q, part)
+		}
 	}
-	return all
+	clear(b.period)
 }
 
 // Probed, Flagged and Told bring what no decision has been shown to gain from yet: docs/design.md.
--- a/balance/state.go
+++ b/balance/state.go
@@ -31,12 +31,12 @@
 	bound      map[string]int // the newest build that has answered a key
 	boundVer   int
 
-	posteriors          map[int][]posterior // by build, one for each operation
-	tallied             map[int][]posterior // the same by the platform's counts
-	tallyVer            int                 // the newest build counted
-	served              float64             // work a warm node does for this marshal, a ms
-	recent              []float64           // latency of each operation on the whole fleet, fading
-	seenOf              []float64           // and of how many answers it is
+	posteriors          map[int][]posterior    // by build, one for each operation
+	period              map[exposure]posterior // the platform's last counts
+	fleet               [2][]posterior         // what the fleet knows of the newest build, and of the earlier one meanwhile
+	served              float64                // work a warm node does for this marshal, a ms
+	recent              []float64              // latency of each operation on the whole fleet, fading
+	seenOf              []float64              // and of how many answers it is
 	work                sliding
 	ends                sliding // those that have, lately
 	pace                float64 // and how many a ms
@@ -142,6 +142,11 @@
 	}
 }
 
+func (p *posterior) add(o posterior, part float64) {
+	p.good += o.good * part
+	p.bad += o.bad * part
+}
+
 func (p *posterior) took(ms float64) {
 	p.n++
 	d := ms - p.mean
