--- a/balance/balance.go
+++ b/balance/balance.go
@@ -46,6 +46,8 @@
 	jamTimes    = 2       // invocations taken for one answered in time, beyond which some are turned away
 	crossing    = 2.0     // part that crosses, for each part more that is answered soon there
 	chance      = 1.5     // roots of the bound that are added to it
+	slowed      = 1.4     // what the fleet's dispatches take against the usual, from which on it has trouble
+	tellEvery   = 2000.0  // ms between two messages to the peers
 	spared      = 0.45    // of the bound that is kept for the operations worth most
 	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
 )
@@ -62,7 +64,9 @@
 func New(h Host, settings Settings, seed uint64) *Balancer {
 	b := &Balancer{h: h, set: settings, ops: settings.parts("operations"), rnd: rand.New(pcg.New(seed)),
 		nodes: map[uint32]*node{}, invs: map[string]*invocation{}, begun: h.Now(), taken: map[int]*sliding{},
-		exposed: map[exposure]*sliding{}, late: map[int]float64{}, bound: map[string]int{}, period: map[exposure]posterior{}, posteriors: map[int][]posterior{}}
+		exposed: map[exposure]*sliding{}, late: map[int]float64{}, bound: map[string]int{}, period: map[exposure]posterior{},
+		peers: map[int]peer{}, posteriors: map[int][]posterior{}}
+	b.usualTime = make([]float64, len(b.ops))
 	b.recent, b.seenOf = make([]float64, len(b.ops)), make([]float64, len(b.ops))
 	for op := range b.ops { // until told better
 		b.recent[op], b.seenOf[op] = b.ops[op].num("slo-ms", 0)/firstGuess, 1
@@ -98,6 +102,7 @@
 	}
 	if ver > b.ver || !b.announced {
 		b.share, b.metAt, b.strainSince = 0, math.Inf(1), now
+		b.atStart = slices.Clone(b.posterior(b.earlierThan(ver)))
 		b.fleet = [2][]posterior{make([]posterior, len(b.ops)+1), make([]posterior, len(b.ops)+1)}
 	}
 	if phase != OnTrial && phase != Released {
@@ -592,6 +597,7 @@
 		b.measure()
 		b.setShare()
 		b.judge()
+		b.tellPeers()
 	case wakeHeld:
 		waiting := b.held
 		b.held = nil
@@ -669,12 +675,14 @@
 	if before < 0 {
 		return
 	}
-	b.settle()
-	fine, worse, n, bad := b.compare(b.posterior(b.ver), b.posterior(before))
+	b.settle(before)
+	own, then := b.posterior(b.ver), b.posterior(before)
+	fine, worse, n, bad := b.compare(own, then, leastJudge)
 	// Where the fleet's outcomes are told, one of the two has to be sure and the other to agree. Else of hundreds
 	// of marshals the one with the worst luck decides, or one failing node in all that the fleet counts.
-	if fine2, worse2, n2, _ := b.compare(b.fleet[0], b.fleet[1]); n2 >= leastJudge {
-		fine, worse = agree(fine, fine2), agree(worse, worse2)
+	if fine2, worse2, n2, _ := b.compare(b.fleet[0], b.fleet[1], leastJudge); n2 >= leastJudge {
+		few, some, _, _ := b.compare(own, then, 2)
+		fine, worse = max(min(fine, fine2*2), min(fine2, few*2)), max(min(worse, worse2*2), min(worse2, some*2))
 	}
 	standing := b.vote == Back && b.voteVer == b.ver && now < b.voteUntil
 	due := now-b.stageSince >= blindAfter && !standing && b.seen(now) && b.strainSince == now
@@ -683,7 +691,7 @@
 		b.cast(Back, now, "trails in success")
 	case b.heavier(now) >= heavy:
 		b.cast(Back, now, "needs more work")
-	case now-b.strainSince >= strainFor && b.strainSince > b.metAt:
+	case now-b.strainSince >= strainFor && b.strainSince > b.metAt && b.shared(now):
 		b.cast(Back, now, "long trouble under it")
 	case b.set.text("rollout.gate-mode", "") == "clock":
 		if n >= leastJudge && bad > 0 && worse > 0.5 {
@@ -697,26 +705,22 @@
 	}
 }
 
-// agree is the surer of two chances, if the other does not speak against it.
-func agree(x, y float64) float64 {
-	if min(x, y) <= 0.5 {
-		return min(x, y)
-	}
-	return max(x, y)
-}
-
 // compare gives the chances that the newest build keeps up with the earlier one and that it is worse, over
 // all operations the least of the one and the greatest of the other, and its outcomes and failures.
-func (b *Balancer) compare(now, then []posterior) (fine, worse, n, bad float64) {
+func (b *Balancer) compare(now, then []posterior, least float64) (fine, worse, n, bad float64) {
 	fine = 1
 	n, bad = now[len(b.ops)].good+now[len(b.ops)].bad, now[len(b.ops)].bad
-	if n < leastJudge {
+	if n < least {
 		return 0, 0, n, bad
 	}
+	alone := b.serving(func(n *node) bool { return n.Ver < b.ver }) == 0
 	for op := range now { // each operation, and all of them together
 		p, q := now[op], then[op]
 		// Errors are also judged alone: overload adds time-outs to both builds, which would drown them.
-		for _, failed := range [][2]float64{{p.bad, q.bad}, {p.errors, q.errors}} {
+		for i, failed := range [][2]float64{{p.errors, q.errors}, {p.bad, q.bad}} {
+			if i == 1 && alone { // nothing to tell a slow spell by
+				continue
+			}
 			usual := (1 + q.good + q.bad - failed[1]) / (2 + q.good + q.bad)
 			new := distuv.Beta{Alpha: priorWeight*usual + p.good + p.bad - failed[0],
 				Beta: priorWeight*(1-usual) + failed[0], Src: b.rnd}
@@ -734,7 +738,7 @@
 				}
 			}
 			fine = min(fine, keeps/judgeDraws)
-			if failed[0] > 1 {
+			if failed[0] > 1 || failed[0] > 0 && least < leastJudge {
 				worse = max(worse, trails/judgeDraws)
 			}
 		}
@@ -807,15 +811,19 @@
 // Tallied brings what the platform counted of all marshals' dispatches, a build and operation at a time.
 func (b *Balancer) Tallied(ver, op, samples, errors int, mean, age float64) {
 	if op < len(b.ops) {
-		b.period[exposure{ver, op}] = posterior{good: float64(samples - errors), bad: float64(errors)}
+		b.period[exposure{ver, op}] = posterior{good: float64(samples - errors), bad: float64(errors), mean: mean}
 	}
 }
 
 // settle takes the last tallies as the fleet's evidence. Both builds must have been counted in the period, and
 // the earlier one weighs no more than a few times the newest: else a slow spell, a burst or an outage that falls
 // on a time when one of them had most of the traffic would count for or against the build.
-func (b *Balancer) settle() {
-	before := b.earlier()
+func (b *Balancer) settle(before int) {
+	if b.set.is("limits.may-tell") {
+		b.fleet = b.heard(before)
+		return
+	}
+	b.slow(b.period)
 	for op := range b.ops {
 		p, q := b.period[exposure{b.ver, op}], b.period[exposure{before, op}]
 		n, m := p.good+p.bad, q.good+q.bad
@@ -831,7 +839,65 @@
 	clear(b.period)
 }
 
-// Probed, Flagged and Told bring what no decision has been shown to gain from yet: docs/design.md.
+// slow follows what the fleet's dispatches take, against the usual, a failure counted as the SLO time.
+func (b *Balancer) slow(period map[exposure]posterior) {
+	took, count, usual := 0.0, 0.0, 0.0
+	for op := range b.ops {
+		t, n := 0.0, 0.0
+		for _, ver := range []int{b.ver, b.earlier()} {
+			p := period[exposure{ver, op}]
+			t += p.good*p.mean + p.bad*b.ops[op].num("slo-ms", 0)
+			n += p.good + p.bad
+		}
+		if n == 0 {
+			continue
+		}
+		if b.usualTime[op] == 0 {
+			b.usualTime[op] = t / n
+		}
+		if t/n < b.usualTime[op]*slowed {
+			b.usualTime[op] += (t/n - b.usualTime[op]) * 0.1
+		}
+		took, count, usual = took+t, count+n, usual+n*b.usualTime[op]
+	}
+	if count > 0 {
+		b.slowBy = took / usual
+	}
+}
+
+// shared says that the fleet has the trouble that this marshal sees, where it can be known: by the platform's
+// counts, or by half of the peers that tell. A slow link, a stall or a zone's trouble is no build's.
+func (b *Balancer) shared(now float64) bool {
+	if b.slowBy > 0 {
+		return b.slowBy >= slowed
+	}
+	heard, strained := 0, 0
+	for _, p := range b.peers {
+		if p.ver == b.ver && now-p.at < 2*tellEvery {
+			heard++
+			strained += p.strained
+		}
+	}
+	return strained*2 >= heard
+}
+
+// tellPeers tells the counts of the build on trial, and of the earlier one meanwhile.
+func (b *Balancer) tellPeers() {
+	now := b.h.Now()
+	if b.set.is("limits.may-tell") && now >= b.tellNext && b.announced && b.phase == OnTrial {
+		b.tellNext = now + tellEvery
+		b.h.Tell(Everyone, b.counts(b.earlier(), now-b.strainSince >= strainFor/2))
+	}
+}
+
+// Told brings a peer's counts.
+func (b *Balancer) Told(from int, text string) {
+	if p, ok := parseCounts(text, len(b.ops)); ok {
+		p.at = b.h.Now()
+		b.peers[from] = p
+	}
+}
+
+// Probed and Flagged bring what no decision has been shown to gain from yet: docs/design.md.
 func (b *Balancer) Probed(id uint32, how Ending, took float64, report map[string]float64) {}
 func (b *Balancer) Flagged(id uint32, op int, age float64)                                {}
-func (b *Balancer) Told(from int, text string)                                            {}
--- a/balance/state.go
+++ b/balance/state.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strconv"
+	"strings"
 )
 
 // State by how long it lives, and the plain helpers it needs. Nothing here decides.
@@ -34,9 +36,14 @@
 	posteriors          map[int][]posterior    // by build, one for each operation
 	period              map[exposure]posterior // the platform's last counts
 	fleet               [2][]posterior         // what the fleet knows of the newest build, and of the earlier one meanwhile
-	served              float64                // work a warm node does for this marshal, a ms
-	recent              []float64              // latency of each operation on the whole fleet, fading
-	seenOf              []float64              // and of how many answers it is
+	atStart             []posterior            // of the earlier build, when the newest came
+	usualTime           []float64              // what the fleet's dispatches of an operation take usually
+	slowBy              float64                // and how much longer they take now
+	peers               map[int]peer
+	tellNext            float64
+	served              float64   // work a warm node does for this marshal, a ms
+	recent              []float64 // latency of each operation on the whole fleet, fading
+	seenOf              []float64 // and of how many answers it is
 	work                sliding
 	ends                sliding // those that have, lately
 	pace                float64 // and how many a ms
@@ -216,21 +223,94 @@
 }
 
 // earlier is the build before the newest, or -1.
-func (b *Balancer) earlier() int {
+func (b *Balancer) earlier() int { return b.earlierThan(b.ver) }
+
+func (b *Balancer) earlierThan(ver int) int {
 	before := -1
 	for _, n := range b.order {
-		if n.Ver < b.ver {
+		if n.Ver < ver {
 			before = max(before, n.Ver)
 		}
 	}
-	for ver := range b.posteriors {
-		if ver < b.ver {
-			before = max(before, ver)
+	for v := range b.posteriors {
+		if v < ver {
+			before = max(before, v)
 		}
 	}
 	return before
 }
 
+// peer is what another marshal has counted: by operation the newest build's successes and failures, and the
+// earlier one's meanwhile.
+type peer struct {
+	ver, strained int
+	at            float64
+	counts        [][4]float64
+}
+
+func (b *Balancer) ownCounts(before int) [][4]float64 {
+	c := make([][4]float64, len(b.ops))
+	now, then := b.posterior(b.ver), b.posterior(before)
+	for op := range c {
+		c[op] = [4]float64{now[op].good, now[op].bad, then[op].good, then[op].bad}
+		if op < len(b.atStart) {
+			c[op][2] -= b.atStart[op].good
+			c[op][3] -= b.atStart[op].bad
+		}
+	}
+	return c
+}
+
+func (b *Balancer) counts(before int, strained bool) string {
+	text := strconv.AppendInt(nil, int64(b.ver), 10)
+	text = append(text, [2]string{" 0", " 1"}[map[bool]int{true: 1}[strained]]...)
+	for _, c := range b.ownCounts(before) {
+		for _, v := range c {
+			text = strconv.AppendFloat(append(text, ' '), v, 'f', -1, 64)
+		}
+	}
+	return string(text)
+}
+
+func parseCounts(text string, ops int) (p peer, ok bool) {
+	f := strings.Fields(text)
+	if len(f) != 2+4*ops {
+		return p, false
+	}
+	v := make([]float64, len(f))
+	for i := range f {
+		var err error
+		if v[i], err = strconv.ParseFloat(f[i], 64); err != nil {
+			return p, false
+		}
+	}
+	p.ver, p.strained = int(v[0]), int(v[1])
+	for op := range ops {
+		p.counts = append(p.counts, [4]float64(v[2+4*op:]))
+	}
+	return p, true
+}
+
+// heard adds up what the peers tell of the newest build and what this marshal has counted itself.
+func (b *Balancer) heard(before int) (fleet [2][]posterior) {
+	fleet = [2][]posterior{make([]posterior, len(b.ops)+1), make([]posterior, len(b.ops)+1)}
+	add := func(counts [][4]float64) {
+		for op, c := range counts {
+			for _, o := range []int{op, len(b.ops)} {
+				fleet[0][o].add(posterior{good: c[0], bad: c[1]}, 1)
+				fleet[1][o].add(posterior{good: c[2], bad: c[3]}, 1)
+			}
+		}
+	}
+	add(b.ownCounts(before))
+	for from := range int(b.set.num("marshals", 1)) {
+		if p, ok := b.peers[from]; ok && p.ver == b.ver {
+			add(p.counts)
+		}
+	}
+	return fleet
+}
+
 // sliding adds up what happened within a window that slides.
 type sliding struct {
 	at   []float64
