Heavier builds by reports of cold nodes too, confirmed by the fleet's mean times

A stage is over before its nodes are 8 s old, so no marshal of hundreds had reports to go by. A cold node's report is scaled by the capacity it has at least.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -501,9 +501,7 @@
 	if d.ran {
 		b.ends.add(now, 1)
 	}
-	if !b.young(n, now-reportLag) { // an earlier one would tell of a cold node
-		n.reported(report)
-	}
+	n.reported(report, b.cold(n, now-reportLag)) // of which it may tell
 	if d.ver == b.ver && d.ran {
 		b.metAt = min(b.metAt, now)
 	}
@@ -770,7 +768,7 @@
 // against the earlier build's nodes of its model: the median, so that one slow machine decides nothing. It
 // guards against builds that are slow but fail little; it is blind where nodes report no such thing.
 func (b *Balancer) heavier(now float64) float64 {
-	tells := func(n *node) bool { return n.Health == Serving && n.work > 0 && !b.young(n, now) }
+	tells := func(n *node) bool { return n.Health == Serving && n.work > 0 }
 	sum, count := map[int]float64{}, map[int]float64{}
 	for _, n := range b.order {
 		if tells(n) && n.Ver < b.ver {
@@ -790,6 +788,9 @@
 	slices.Sort(ratios)
 	// The invocations of this marshal must have taken longer too, or the reports tell of something else.
 	mine, before := b.posterior(b.ver)[len(b.ops)], b.posterior(b.earlier())[len(b.ops)]
+	if b.fleet[0][len(b.ops)].n >= leastJudge { // or those of the fleet
+		mine, before = b.fleet[0][len(b.ops)], b.fleet[1][len(b.ops)]
+	}
 	if mine.n < leastJudge || mine.mean < slower*before.mean {
 		return 0
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -115,13 +115,14 @@
 
 // reported takes from a load report what one invocation is for the node: its busy share at its rate or, where
 // that is not told, its service time, less what comes of sharing its cores with as many as are there at once.
-func (n *node) reported(report map[string]float64) {
+func (n *node) reported(report map[string]float64, part float64) {
 	rate, work := report["rate"], 0.0
 	if busy := report["busy"]; busy > 0 && rate > 0 {
 		work = busy / rate
 	} else if service := report["service-ms"]; service > 0 {
 		work = service / (1 + service*rate/1000)
 	}
+	work *= part // of its capacity that it has at least: a cold one looks no heavier than it is
 	if work > 0 && n.work > 0 {
 		n.work += (work - n.work) * 0.2
 	} else if work > 0 {
@@ -152,6 +153,10 @@
 func (p *posterior) add(o posterior, part float64) {
 	p.good += o.good * part
 	p.bad += o.bad * part
+	if o.mean > 0 && o.good > 0 {
+		p.n += o.good * part
+		p.mean += (o.mean - p.mean) * o.good * part / p.n
+	}
 }
 
 func (p *posterior) took(ms float64) {
