--- a/balance/balance.go
+++ b/balance/balance.go
@@ -636,8 +636,17 @@
 // setShare sets the trial build's share for the next interval: its full cap if feasible, else the feasible
 // fraction of the draws; at most doubling, and not below its share of the ready nodes.
 func (b *Balancer) setShare() {
-	trial := b.serving(func(n *node) bool { return b.onTrial(n.Ver) })
-	all := max(1, b.serving(func(*node) bool { return true }))
+	now := b.h.Now()
+	trial, all := 0.0, 0.0 // by what they can do while cold
+	for _, n := range b.order {
+		if n.Health == Serving {
+			all += b.cold(n, now)
+			if b.onTrial(n.Ver) {
+				trial += b.cold(n, now)
+			}
+		}
+	}
+	ready := trial / max(all, 1e-9)
 	feasible := 0.0
 	for range draws {
 		within := 1.0
@@ -655,9 +664,11 @@
 	// The cap comes before the stage's machines do: until they are listed, those that are there take no more
 	// than their part of it, or a good build would look slow for being sent too much.
 	if plan := b.set.nums("rollout.stage-share"); b.stage < len(plan) && plan[b.stage] > 0 {
-		target = min(target, b.cap*trial/all/plan[b.stage])
+		target = min(target, b.cap*ready/plan[b.stage])
 	}
-	b.share = max(min(target, 2*b.share), trial/all)
+	// What exceeds the ready nodes' part would jam them unseen where a marshal has next to nothing out at a node.
+	target = ready + (target-ready)*min(1, b.calm)
+	b.share = max(min(target, 2*b.share), ready)
 }
 
 // judge votes on the newest build.
