--- a/balance/balance.go
+++ b/balance/balance.go
@@ -409,7 +409,7 @@
 	part := 1 + spared*(b.yield(inv.op)-0.7)
 	over := out >= room*part && inv.came-b.begun >= 2*interval
 	// Of few out a bound tells nothing: what came to nothing of late is then turned away in part, by chance.
-	over = over || b.rnd.Float64()*part < 1-jamTimes*(1-b.jam)
+	over = over || b.rnd.Float64()*part < 1-jamTimes*(1-b.misses)
 	b.turned = b.turned || over
 	return over
 }
@@ -459,8 +459,9 @@
 	repeat, group := b.ops[inv.op].text("repeat", ""), b.ops[inv.op].text("group", "")
 	harmless := repeat == "idempotent" || repeat == "fingerprinted" && group == "all"
 	b.finish(inv)
-	b.missed(true)
-	b.jam += (1 - b.jam) * 0.03
+	if last := len(inv.sent) - 1; last < 0 || !inv.sent[last].erred {
+		b.missed(true)
+	}
 	if harmless || !inv.mayHaveRun() {
 		b.h.Throttle(inv.id, 200)
 	} else {
@@ -472,7 +473,7 @@
 func (b *Balancer) Lapsed(id string) {
 	if inv := b.invs[id]; inv != nil {
 		if !inv.finished {
-			b.jam += (1 - b.jam) * 0.03
+			b.missed(true)
 		}
 		b.finish(inv)
 	}
@@ -494,6 +495,7 @@
 	}
 	now := b.h.Now()
 	d := &inv.sent[no]
+	d.erred = how == Failed
 	d.open, d.ran = false, how != Full && how != NoConnect && how != Ignored
 	n := d.to
 	n.inflight--
@@ -507,13 +509,7 @@
 	}
 	b.learn(inv, d, how, took, now)
 	if done && !inv.finished {
-		late := now-inv.came > b.ops[inv.op].num("slo-ms", 0)
-		b.missed(how != Succeeded || late)
-		if late {
-			b.jam += (1 - b.jam) * 0.03
-		} else {
-			b.jam -= b.jam * 0.03
-		}
+		b.missed(now-inv.came > b.ops[inv.op].num("slo-ms", 0))
 	}
 	if done || inv.finished {
 		b.finish(inv)
@@ -687,17 +683,17 @@
 	b.settle(before)
 	own, then := b.posterior(b.ver), b.posterior(before)
 	fine, worse, n, bad := b.compare(own, then, leastJudge)
-	// Where the fleet's outcomes are told, one of the two has to be sure and the other to agree. Else of hundreds
-	// of marshals the one with the worst luck decides, or one failing node in all that the fleet counts.
+	// Where the fleet's outcomes are told, they have to be sure and the marshal's own, however few, to agree. Else
+	// of hundreds of marshals the one with the worst luck decides, or one failing node in all that is counted.
 	if fine2, worse2, n2, _ := b.compare(b.fleet[0], b.fleet[1], leastJudge); n2 >= leastJudge {
-		few, some, _, _ := b.compare(own, then, 2)
-		fine, worse = max(min(fine, fine2*2), min(fine2, few*2)), max(min(worse, worse2*2), min(worse2, some*2))
+		fine, worse, _, _ = b.compare(own, then, 2)
+		fine, worse, n = min(fine2, 2*fine), min(worse2, 2*worse), n2
 	}
 	standing := b.vote == Back && b.voteVer == b.ver && now < b.voteUntil
 	due := now-b.stageSince >= blindAfter && !standing && b.seen(now) && b.strainSince == now
 	switch {
 	case n >= leastJudge && worse >= confidence:
-		b.cast(Back, now, "trails in success")
+		b.cast(Back, now, fmt.Sprintf("trails in success, %v of %v failed", bad, n))
 	case b.heavier(now) >= heavy:
 		b.cast(Back, now, "needs more work")
 	case now-b.strainSince >= strainFor && b.strainSince > b.metAt && b.shared(now):
@@ -763,7 +759,8 @@
 	return b.stage != len(b.set.nums("rollout.stage-share"))-2 || young*2 <= all && all > 0
 }
 
-// missed counts an invocation as answered in time or not, against how many usually are not.
+// missed counts an invocation as late or given up, or not, against how many usually are. An error is neither: it
+// speaks against its node or build, or it is the invocation's own.
 func (b *Balancer) missed(yes bool) {
 	late := 0.0
 	if yes {
@@ -851,15 +848,15 @@
 	clear(b.period)
 }
 
-// slow follows what the fleet's dispatches take, against the usual, a failure counted as the SLO time.
+// slow follows what the fleet's dispatches take, against the usual.
 func (b *Balancer) slow(period map[exposure]posterior) {
 	took, count, usual := 0.0, 0.0, 0.0
 	for op := range b.ops {
 		t, n := 0.0, 0.0
 		for _, ver := range []int{b.ver, b.earlier()} {
 			p := period[exposure{ver, op}]
-			t += p.good*p.mean + p.bad*b.ops[op].num("slo-ms", 0)
-			n += p.good + p.bad
+			t += p.good * p.mean
+			n += p.good
 		}
 		if n == 0 {
 			continue
@@ -878,27 +875,27 @@
 }
 
 // shared says that the fleet has the trouble that this marshal sees, where it can be known: by the platform's
-// counts, or by half of the peers that tell. A slow link, a stall or a zone's trouble is no build's.
+// counts, or by a third of the marshals that tell. A slow link, a stall or a zone's trouble is no build's.
 func (b *Balancer) shared(now float64) bool {
 	if b.slowBy > 0 {
 		return b.slowBy >= slowed
 	}
-	heard, strained := 0, 0
+	marshals, strained := b.set.num("marshals", 1), 1
 	for _, p := range b.peers {
 		if p.ver == b.ver && now-p.at < 2*tellEvery {
-			heard++
 			strained += p.strained
 		}
 	}
-	return strained*2 >= heard
+	return !b.set.is("limits.may-tell") || float64(strained) >= marshals/3
 }
 
 // tellPeers tells the counts of the build on trial, and of the earlier one meanwhile.
 func (b *Balancer) tellPeers() {
 	now := b.h.Now()
-	if b.set.is("limits.may-tell") && now >= b.tellNext && b.announced && b.phase == OnTrial {
+	strained := now-b.strainSince >= strainFor/2
+	if b.set.is("limits.may-tell") && now >= b.tellNext && b.announced && (b.phase == OnTrial || strained) {
 		b.tellNext = now + tellEvery
-		b.h.Tell(Everyone, b.counts(b.earlier(), now-b.strainSince >= strainFor/2))
+		b.h.Tell(Everyone, b.counts(b.earlier(), strained))
 	}
 }
 
--- a/balance/state.go
+++ b/balance/state.go
@@ -76,6 +76,7 @@
 	short bool // its time limit was cut below the SLO time
 	open  bool
 	left  bool // it was cancelled
+	erred bool // it ended in an error
 	ran   bool // it may have run (true while it is open)
 }
 
