--- a/balance/balance.go
+++ b/balance/balance.go
@@ -46,8 +46,9 @@
 	jamTimes    = 2       // invocations taken for one answered in time, beyond which some are turned away
 	crossing    = 2.0     // part that crosses, for each part more that is answered soon there
 	chance      = 1.5     // roots of the bound that are added to it
-	slowed      = 1.4     // what the fleet's dispatches take against the usual, from which on it has trouble
+	slowed      = 2.0     // what the fleet's dispatches take against the usual, from which on it has trouble
 	tellEvery   = 2000.0  // ms between two messages to the peers
+	lookEvery   = 100.0   // ms between two looks for silent nodes, and the measure of a stall of this marshal
 	spared      = 0.45    // of the bound that is kept for the operations worth most
 	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
 )
@@ -65,7 +66,8 @@
 	b := &Balancer{h: h, set: settings, ops: settings.parts("operations"), rnd: rand.New(pcg.New(seed)),
 		nodes: map[uint32]*node{}, invs: map[string]*invocation{}, begun: h.Now(), taken: map[int]*sliding{},
 		exposed: map[exposure]*sliding{}, late: map[int]float64{}, bound: map[string]int{}, period: map[exposure]posterior{},
-		peers: map[int]peer{}, posteriors: map[int][]posterior{}}
+		peers: map[int]peer{}, posteriors: map[int][]posterior{},
+		looked: h.Now()}
 	b.usualTime = make([]float64, len(b.ops))
 	b.recent, b.seenOf = make([]float64, len(b.ops)), make([]float64, len(b.ops))
 	for op := range b.ops { // until told better
@@ -75,7 +77,7 @@
 		h.Watch(true)
 	}
 	h.Wake(interval, wakeInterval)
-	h.Wake(100, wakeSilent)
+	h.Wake(lookEvery, wakeSilent)
 	return b
 }
 
@@ -509,7 +511,7 @@
 	}
 	b.learn(inv, d, how, took, now)
 	if done && !inv.finished {
-		b.missed(now-inv.came > b.ops[inv.op].num("slo-ms", 0))
+		b.missed(now-inv.came > b.ops[inv.op].num("slo-ms", 0) && now-b.looked <= 3*lookEvery)
 	}
 	if done || inv.finished {
 		b.finish(inv)
@@ -518,9 +520,14 @@
 	b.send(inv)
 }
 
-// learn takes an outcome as evidence on the node, the build and the fleet.
+// learn takes an outcome as evidence on the node, the build and the fleet. What comes in after this marshal has
+// stood still, its timer late by as much, is evidence of nothing but an answer: it guards against stalls.
 func (b *Balancer) learn(inv *invocation, d *dispatch, how Ending, took, now float64) {
 	n := d.to
+	if now-b.looked > 3*lookEvery || now == b.stalled {
+		n.answered = now
+		return
+	}
 	if how != TimedOut && how != NoConnect && how != Ignored && how != Canceled {
 		n.answered = now
 	}
@@ -602,8 +609,14 @@
 			}
 		}
 	case wakeSilent:
-		b.h.Wake(100, wakeSilent)
-		b.desert(b.h.Now())
+		now := b.h.Now()
+		b.h.Wake(lookEvery, wakeSilent)
+		if now-b.looked > 3*lookEvery { // this marshal stood still: what it finds now says nothing of others
+			b.stalled = now
+		} else if now > b.stalled {
+			b.desert(now)
+		}
+		b.looked = now
 	case wakeWatch:
 		b.watchDue = false
 		b.h.Watch(true)
--- a/balance/state.go
+++ b/balance/state.go
@@ -41,6 +41,7 @@
 	slowBy              float64                // and how much longer they take now
 	peers               map[int]peer
 	tellNext            float64
+	looked, stalled     float64   // when the last look was, and the last that came late
 	served              float64   // work a warm node does for this marshal, a ms
 	recent              []float64 // latency of each operation on the whole fleet, fading
 	seenOf              []float64 // and of how many answers it is
