--- a/balance/balance.go
+++ b/balance/balance.go
@@ -43,7 +43,7 @@
 	strainFor   = 12000.0 // ms of it under a build until that goes back
 	silence     = 7.0     // mean latencies after which one dispatch unanswered makes its node silent
 	firstGuess  = 4.0     // of the SLO time one part is taken for the latency before any is known
-	jamTimes    = 2       // invocations taken for one answered in time, beyond which some are turned away
+	jamTimes    = 1.2     // invocations taken for one answered in time, beyond which some are turned away
 	crossing    = 2.0     // part that crosses, for each part more that is answered soon there
 	chance      = 1.5     // roots of the bound that are added to it
 	slowed      = 2.0     // what the fleet's dispatches take against the usual, from which on it has trouble
@@ -411,7 +411,7 @@
 	part := 1 + spared*(b.yield(inv.op)-0.7)
 	over := out >= room*part && inv.came-b.begun >= 2*interval
 	// Of few out a bound tells nothing: what came to nothing of late is then turned away in part, by chance.
-	over = over || b.rnd.Float64()*part < 1-jamTimes*(1-b.misses)
+	over = over || b.rnd.Float64()*part < min(0.9, 1-jamTimes*(1-b.jam))
 	b.turned = b.turned || over
 	return over
 }
@@ -462,7 +462,7 @@
 	harmless := repeat == "idempotent" || repeat == "fingerprinted" && group == "all"
 	b.finish(inv)
 	if last := len(inv.sent) - 1; last < 0 || !inv.sent[last].erred {
-		b.missed(true)
+		b.missed(true, last >= 0)
 	}
 	if harmless || !inv.mayHaveRun() {
 		b.h.Throttle(inv.id, 200)
@@ -475,7 +475,7 @@
 func (b *Balancer) Lapsed(id string) {
 	if inv := b.invs[id]; inv != nil {
 		if !inv.finished {
-			b.missed(true)
+			b.missed(true, true)
 		}
 		b.finish(inv)
 	}
@@ -511,7 +511,7 @@
 	}
 	b.learn(inv, d, how, took, now)
 	if done && !inv.finished {
-		b.missed(now-inv.came > b.ops[inv.op].num("slo-ms", 0) && now-b.looked <= 3*lookEvery)
+		b.missed(now-inv.came > b.ops[inv.op].num("slo-ms", 0) && now-b.looked <= 3*lookEvery, true)
 	}
 	if done || inv.finished {
 		b.finish(inv)
@@ -592,6 +592,7 @@
 			b.calm += (out/max(living, 1) - b.calm) * 0.1
 		}
 		b.turned = false
+		b.jam *= 0.97                    // forgotten bit by bit, by those too that answer next to nothing
 		for zone, late := range b.late { // forgotten bit by bit, so that a zone is tried again
 			b.late[zone] = late * 0.98
 		}
@@ -774,11 +775,14 @@
 
 // missed counts an invocation as late or given up, or not, against how many usually are. An error is neither: it
 // speaks against its node or build, or it is the invocation's own.
-func (b *Balancer) missed(yes bool) {
+func (b *Balancer) missed(yes, sent bool) {
 	late := 0.0
 	if yes {
 		late = 1
 	}
+	if sent { // not what was turned away: that would go on for its own sake
+		b.jam += (late - b.jam) * 0.03
+	}
 	b.misses += (late - b.misses) * 0.03
 	if b.misses < b.missesUsual+strained {
 		b.missesUsual += (late - b.missesUsual) * 0.003
