Kept to known connections once new ones fail often

Covers slow handshakes and nodes that accept few connections; may hurt where the known nodes are lost together.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -49,6 +49,7 @@
 	slowed      = 2.0     // what the fleet's dispatches take against the usual, from which on it has trouble
 	tellEvery   = 2000.0  // ms between two messages to the peers
 	lookEvery   = 100.0   // ms between two looks for silent nodes, and the measure of a stall of this marshal
+	linkTrouble = 0.15    // share of dispatches without connection from which on known connections are kept to
 	spared      = 0.45    // of the bound that is kept for the operations worth most
 	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
 )
@@ -284,7 +285,7 @@
 
 // pick makes two random choices among the healthy and near by what is in flight.
 func (b *Balancer) pick(pool []*node, now float64) *node {
-	pool = b.nearby(b.healthy(pool, now), now)
+	pool = b.nearby(b.linked(b.healthy(pool, now), now), now)
 	i, j := b.rnd.IntN(len(pool)), b.rnd.IntN(len(pool))
 	if i == j {
 		j = (j + 1) % len(pool)
@@ -295,6 +296,21 @@
 	return pool[i]
 }
 
+// linked keeps to nodes that have answered within the time an idle connection lasts, once new connections fail
+// often: it guards against nodes that accept few connections and against slow handshakes, where a trickle over
+// the whole fleet would pay for a new one each time. It may hurt where nodes are lost and others join.
+func (b *Balancer) linked(pool []*node, now float64) []*node {
+	if b.noLink < linkTrouble {
+		return pool
+	}
+	idle := b.set.num("limits.conn-idle-ms", 10000)
+	there := slices.DeleteFunc(slices.Clone(pool), func(n *node) bool { return n.link <= 0 || now-n.link > idle })
+	if len(there) == 0 {
+		return pool
+	}
+	return there
+}
+
 // load is what is in flight at a node against its size, and what of that it has while cold.
 func (b *Balancer) load(n *node, now float64) float64 {
 	return float64(n.inflight) / max(n.Size*b.cold(n, now), 0.01)
@@ -538,6 +554,13 @@
 		}
 		b.late[n.Zone] += (late - b.late[n.Zone]) * 0.05
 	}
+	if how == NoConnect {
+		b.noLink += (1 - b.noLink) * 0.1
+		n.link = 0
+	} else if how == Succeeded || how == Failed || how == Full {
+		b.noLink -= b.noLink * 0.02
+		n.link = now
+	}
 	failed := how == Failed || how == TimedOut && !d.short || how == Reset
 	if failed || how == NoConnect || how == Canceled {
 		n.bad = n.bad*0.9 + 1
--- a/balance/state.go
+++ b/balance/state.go
@@ -54,6 +54,7 @@
 	misses, missesUsual float64         // share of invocations not answered in time, lately and usually
 	jam                 float64         // share of invocations late or given up, lately
 	late                map[int]float64 // share of dispatches to a zone not answered soon, lately
+	noLink              float64         // share of dispatches that got no connection, lately
 	strainSince         float64         // since when it is far over the usual
 	metAt               float64         // when the newest build first answered
 	median              float64         // of the nodes' shares of failures
@@ -104,6 +105,7 @@
 	answered float64   // when it last answered anything
 	good     float64   // recent outcomes, fading
 	bad      float64
+	link     float64 // when its connection was last seen to work
 	pushed   sliding // work sent while cold
 	lot      float64 // drawn for this start of it, for what is left over of its budget
 	retest   float64 // when a sick node is next tried
