--- a/balance/balance.go
+++ b/balance/balance.go
@@ -50,6 +50,7 @@
 	tellEvery   = 2000.0  // ms between two messages to the peers
 	lookEvery   = 100.0   // ms between two looks for silent nodes, and the measure of a stall of this marshal
 	linkTrouble = 0.15    // share of dispatches without connection from which on known connections are kept to
+	warmEnough  = 0.8     // of its capacity that the fleet must have for trouble to count
 	spared      = 0.45    // of the bound that is kept for the operations worth most
 	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
 )
@@ -680,6 +681,7 @@
 		}
 	}
 	ready := trial / max(all, 1e-9)
+	b.fleetReady = all / max(1, b.serving(func(*node) bool { return true }))
 	feasible := 0.0
 	for range draws {
 		within := 1.0
@@ -712,6 +714,8 @@
 	now := b.h.Now()
 	if b.misses < b.missesUsual+strained {
 		b.strainSince = now
+	} else if b.fleetReady < warmEnough { // no wonder while much of the fleet is cold
+		b.strainSince = min(now, b.strainSince+interval)
 	}
 	before := b.earlier()
 	if before < 0 {
@@ -733,7 +737,8 @@
 		b.cast(Back, now, fmt.Sprintf("trails in success, %v of %v failed", bad, n))
 	case b.heavier(now) >= heavy:
 		b.cast(Back, now, "needs more work")
-	case now-b.strainSince >= strainFor && b.strainSince > b.metAt && b.shared(now):
+	case now-b.strainSince >= strainFor && b.strainSince > b.metAt && b.shared(now) &&
+		b.strainSince < b.stageSince+2*blindAfter: // a build's begins with a stage, not long after its release
 		b.cast(Back, now, "long trouble under it")
 	case b.set.text("rollout.gate-mode", "") == "clock":
 		if n >= leastJudge && bad > 0 && worse > 0.5 {
