--- a/balance/balance.go
+++ b/balance/balance.go
@@ -45,12 +45,13 @@
 	firstGuess  = 4.0     // of the SLO time one part is taken for the latency before any is known
 	jamTimes    = 1.2     // invocations taken for one answered in time, beyond which some are turned away
 	crossing    = 2.0     // part that crosses, for each part more that is answered soon there
-	chance      = 1.5     // roots of the bound that are added to it
+	chance      = 2.0     // dispatches more than the bound that may be out
 	slowed      = 2.0     // what the fleet's dispatches take against the usual, from which on it has trouble
 	tellEvery   = 2000.0  // ms between two messages to the peers
 	lookEvery   = 100.0   // ms between two looks for silent nodes, and the measure of a stall of this marshal
 	linkTrouble = 0.15    // share of dispatches without connection from which on known connections are kept to
 	warmEnough  = 0.8     // of its capacity that the fleet must have for trouble to count
+	fewMarshals = 10.0    // marshals for each whose vote is needed, up to which each is sure by itself
 	spared      = 0.45    // of the bound that is kept for the operations worth most
 	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
 )
@@ -424,7 +425,7 @@
 	b.usualCost += (b.weigh(inv.cost) - b.usualCost) / min(100, b.arrived)
 	out, living := b.living(inv.came)
 	room := max(leastOut, b.calm*calmTimes*living, b.pace*b.slo*queueFor)
-	room += chance * math.Sqrt(room) // what is out of a trickle varies by its root
+	room += chance // of a trickle more is out at times, with nothing jammed
 	part := 1 + spared*(b.yield(inv.op)-0.7)
 	over := out >= room*part && inv.came-b.begun >= 2*interval
 	// Of few out a bound tells nothing: what came to nothing of late is then turned away in part, by chance.
@@ -726,7 +727,9 @@
 	fine, worse, n, bad := b.compare(own, then, leastJudge)
 	// Where the fleet's outcomes are told, they have to be sure and the marshal's own, however few, to agree. Else
 	// of hundreds of marshals the one with the worst luck decides, or one failing node in all that is counted.
-	if fine2, worse2, n2, _ := b.compare(b.fleet[0], b.fleet[1], leastJudge); n2 >= leastJudge {
+	// A marshal of a few that decide is sure by itself.
+	some, many := b.set.num("rollout.noes-needed", 1), b.set.num("marshals", 1)
+	if fine2, worse2, n2, _ := b.compare(b.fleet[0], b.fleet[1], leastJudge); some*fewMarshals < many && n2 >= leastJudge {
 		fine, worse, _, _ = b.compare(own, then, 2)
 		fine, worse, n = min(fine2, 2*fine), min(worse2, 2*worse), n2
 	}
