Long trouble sends a build back only where the platform's tallies confirm it

It had sent good builds back after shifts, slow links and cold restarts. The strain in peers' messages and its pause while cold went with it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -49,7 +49,6 @@
 	tellEvery   = 2000.0  // ms between two messages to the peers
 	lookEvery   = 100.0   // ms between two looks for silent nodes, and the measure of a stall of this marshal
 	linkTrouble = 0.15    // share of dispatches without connection from which on known connections are kept to
-	warmEnough  = 0.8     // of its capacity that the fleet must have for trouble to count
 	fewMarshals = 10.0    // marshals for each whose vote is needed, up to which each is sure by itself
 	spared      = 0.45    // of the bound that is kept for the operations worth most
 	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
@@ -680,7 +679,6 @@
 		}
 	}
 	ready := trial / max(all, 1e-9)
-	b.fleetReady = all / max(1, b.serving(func(*node) bool { return true }))
 	feasible := 0.0
 	for range draws {
 		within := 1.0
@@ -713,8 +711,6 @@
 	now := b.h.Now()
 	if b.misses < b.missesUsual+strained {
 		b.strainSince = now
-	} else if b.fleetReady < warmEnough { // no wonder while much of the fleet is cold
-		b.strainSince = min(now, b.strainSince+interval)
 	}
 	before := b.earlier()
 	if before < 0 {
@@ -738,7 +734,7 @@
 		b.cast(Back, now, fmt.Sprintf("trails in success, %v of %v failed", bad, n))
 	case b.heavier(now) >= heavy:
 		b.cast(Back, now, "needs more work")
-	case now-b.strainSince >= strainFor && b.strainSince > b.metAt && b.shared(now) &&
+	case now-b.strainSince >= strainFor && b.strainSince > b.metAt && b.slowBy >= slowed &&
 		b.strainSince < b.stageSince+2*blindAfter: // a build's begins with a stage, not long after its release
 		b.cast(Back, now, "long trouble under it")
 	case b.set.text("rollout.gate-mode", "") == "clock":
@@ -920,35 +916,18 @@
 	}
 }
 
-// shared says that the fleet has the trouble that this marshal sees, where it can be known: by the platform's
-// counts, or by a third of the marshals that tell. A slow link, a stall or a zone's trouble is no build's.
-func (b *Balancer) shared(now float64) bool {
-	if b.slowBy > 0 {
-		return b.slowBy >= slowed
-	}
-	marshals, strained := b.set.num("marshals", 1), 1
-	for _, p := range b.peers {
-		if p.ver == b.ver && now-p.at < 2*tellEvery {
-			strained += p.strained
-		}
-	}
-	return !b.set.is("limits.may-tell") || float64(strained) >= marshals/3
-}
-
 // tellPeers tells the counts of the build on trial, and of the earlier one meanwhile.
 func (b *Balancer) tellPeers() {
 	now := b.h.Now()
-	strained := now-b.strainSince >= strainFor/2
-	if b.set.is("limits.may-tell") && now >= b.tellNext && b.announced && (b.phase == OnTrial || strained) {
+	if b.set.is("limits.may-tell") && now >= b.tellNext && b.announced && b.phase == OnTrial {
 		b.tellNext = now + tellEvery
-		b.h.Tell(Everyone, b.counts(b.earlier(), strained))
+		b.h.Tell(Everyone, b.counts(b.earlier()))
 	}
 }
 
 // Told brings a peer's counts.
 func (b *Balancer) Told(from int, text string) {
 	if p, ok := parseCounts(text, len(b.ops)); ok {
-		p.at = b.h.Now()
 		b.peers[from] = p
 	}
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -55,7 +55,6 @@
 	jam                 float64         // share of invocations late or given up, lately
 	late                map[int]float64 // share of dispatches to a zone not answered soon, lately
 	noLink              float64         // share of dispatches that got no connection, lately
-	fleetReady          float64         // part of the serving nodes' capacity that is there while they are cold
 	strainSince         float64         // since when it is far over the usual
 	metAt               float64         // when the newest build first answered
 	median              float64         // of the nodes' shares of failures
@@ -253,9 +252,8 @@
 // peer is what another marshal has counted: by operation the newest build's successes and failures, and the
 // earlier one's meanwhile.
 type peer struct {
-	ver, strained int
-	at            float64
-	counts        [][4]float64
+	ver    int
+	counts [][4]float64
 }
 
 func (b *Balancer) ownCounts(before int) [][4]float64 {
@@ -271,9 +269,8 @@
 	return c
 }
 
-func (b *Balancer) counts(before int, strained bool) string {
+func (b *Balancer) counts(before int) string {
 	text := strconv.AppendInt(nil, int64(b.ver), 10)
-	text = append(text, [2]string{" 0", " 1"}[map[bool]int{true: 1}[strained]]...)
 	for _, c := range b.ownCounts(before) {
 		for _, v := range c {
 			text = strconv.AppendFloat(append(text, ' '), v, 'f', -1, 64)
@@ -284,7 +281,7 @@
 
 func parseCounts(text string, ops int) (p peer, ok bool) {
 	f := strings.Fields(text)
-	if len(f) != 2+4*ops {
+	if len(f) != 1+4*ops {
 		return p, false
 	}
 	v := make([]float64, len(f))
@@ -294,9 +291,9 @@
 			return p, false
 		}
 	}
-	p.ver, p.strained = int(v[0]), int(v[1])
+	p.ver = int(v[0])
 	for op := range ops {
-		p.counts = append(p.counts, [4]float64(v[2+4*op:]))
+		p.counts = append(p.counts, [4]float64(v[1+4*op:]))
 	}
 	return p, true
 }
