--- a/balance/balance.go
+++ b/balance/balance.go
@@ -8,15 +8,11 @@
 
 import (
 	"fmt"
-	"hash/fnv"
 	"maps"
 	"math"
-	"math/rand/v2"
 	"slices"
 
 	"gonum.org/v1/gonum/stat/distuv"
-
-	"arrowcleat/internal/pcg"
 )
 
 const (
@@ -64,13 +60,7 @@
 
 // New starts an instance.
 func New(h Host, settings Settings, seed uint64) *Balancer {
-	b := &Balancer{h: h, set: settings, ops: settings.parts("operations"), rnd: rand.New(pcg.New(seed)),
-		nodes: map[uint32]*node{}, invs: map[string]*invocation{}, begun: h.Now(), taken: map[int]*sliding{},
-		exposed: map[exposure]*sliding{}, late: map[int]float64{}, bound: map[string]int{}, period: map[exposure]posterior{},
-		peers: map[int]peer{}, posteriors: map[int][]posterior{},
-		looked: h.Now()}
-	b.usualTime = make([]float64, len(b.ops))
-	b.recent, b.seenOf = make([]float64, len(b.ops)), make([]float64, len(b.ops))
+	b := newBalancer(h, settings, seed)
 	for op := range b.ops { // until told better
 		b.recent[op], b.seenOf[op] = b.ops[op].num("slo-ms", 0)/firstGuess, 1
 	}
@@ -82,9 +72,6 @@
 	return b
 }
 
-// Listed brings the list of nodes, or what has changed of it.
-func (b *Balancer) Listed(whole bool, list []Node) { b.merge(whole, list, b.h.Now()) }
-
 // ListFailed says that asking for the list failed or a watch has ended, without saying which.
 func (b *Balancer) ListFailed() {
 	if !b.watchDue {
@@ -126,14 +113,6 @@
 	b.vote, b.voteNext = NoVote, now+1000
 }
 
-// onTrial says whether a build is on trial for this instance.
-func (b *Balancer) onTrial(ver int) bool {
-	if !b.announced { // nothing told yet: all but the oldest build listed may be on trial
-		return b.serving(func(n *node) bool { return n.Ver < ver }) > 0
-	}
-	return ver > b.ver || ver == b.ver && b.phase != Released
-}
-
 // Arrived takes an invocation: from here on it is owed one final answer within budget.
 func (b *Balancer) Arrived(id string, op, tenant int, key string, budget, cost float64, retry, write bool) {
 	now := b.h.Now()
@@ -195,18 +174,10 @@
 	}
 
 	slo := b.ops[inv.op].num("slo-ms", 0)
-	inv.sent = append(inv.sent, dispatch{to: n, ver: n.Ver, sent: now, young: b.young(n, now),
-		short: left < slo, open: true, ran: true})
 	if b.sick(n) {
 		n.retest = now + n.penalty
 	}
-	n.inflight++
-	n.open = append(n.open, opening{inv, len(inv.sent) - 1})
-	b.exposedTo(n.Ver, inv.op).add(now, 1)
-	b.exposedTo(n.Ver, -1).add(now, 1)
-	if b.cold(n, now) < 1 {
-		n.pushed.add(now, b.weigh(inv.cost))
-	}
+	b.opened(inv, dispatch{to: n, ver: n.Ver, sent: now, young: b.young(n, now), short: left < slo, open: true, ran: true})
 	b.h.Dispatch(inv.id, n.ID, left)
 }
 
@@ -219,9 +190,7 @@
 	if b.bound[inv.key] >= b.ver {
 		return -1
 	}
-	h := fnv.New32a()
-	h.Write([]byte(inv.key))
-	return float64(h.Sum32()) / (1 << 32)
+	return place(inv.key)
 }
 
 // mayFollow keeps the rule against double effects, once nothing of the invocation is out any more.
@@ -304,7 +273,7 @@
 		return pool
 	}
 	idle := b.set.num("limits.conn-idle-ms", 10000)
-	there := slices.DeleteFunc(slices.Clone(pool), func(n *node) bool { return n.link <= 0 || now-n.link > idle })
+	there := those(pool, func(n *node) bool { return n.link > 0 && now-n.link <= idle })
 	if len(there) == 0 {
 		return pool
 	}
@@ -318,12 +287,7 @@
 
 // healthy leaves out nodes that fail more than the fleet's median or do not answer; it fails open.
 func (b *Balancer) healthy(pool []*node, now float64) []*node {
-	var well []*node
-	for _, n := range pool {
-		if (!b.sick(n) || now >= n.retest) && !b.silent(n, now) {
-			well = append(well, n)
-		}
-	}
+	well := those(pool, func(n *node) bool { return (!b.sick(n) || now >= n.retest) && !b.silent(n, now) })
 	if len(well) == 0 || len(well)*3 < len(pool) {
 		return pool
 	}
@@ -373,13 +337,7 @@
 	} else if math.IsInf(leastNear, 1) || leastNear > least+2 {
 		return pool
 	}
-	var there []*node
-	for _, n := range pool {
-		if n.Zone == to {
-			there = append(there, n)
-		}
-	}
-	return there
+	return those(pool, func(n *node) bool { return n.Zone == to })
 }
 
 // soon is the share of dispatches to a zone that are answered within the SLO time, lately.
@@ -443,17 +401,6 @@
 	return worth[op] / max(slices.Max(worth), 1e-9)
 }
 
-// living counts the nodes that answer, and what is out there: what is out at others waits for nothing.
-func (b *Balancer) living(now float64) (out, nodes float64) {
-	for _, n := range b.order {
-		if n.Health == Serving && !b.sick(n) && !b.silent(n, now) {
-			out += float64(n.inflight)
-			nodes++
-		}
-	}
-	return out, nodes
-}
-
 // hold keeps an invocation that can be sent nowhere now, as long as it could still be answered in time.
 func (b *Balancer) hold(inv *invocation, now float64) {
 	hopeless := len(inv.sent) > 0 && b.serving(func(n *node) bool { return b.mayFollow(inv, n, now) }) == 0
@@ -496,13 +443,6 @@
 	}
 }
 
-// Began says that a streamed answer has started; the dispatch is the client's from here on.
-func (b *Balancer) Began(id string, no int, _ uint32, took float64) {
-	if inv := b.invs[id]; inv != nil && no < len(inv.sent) {
-		inv.sent[no].left = true // never to be cancelled
-	}
-}
-
 // Ended says how a dispatch ended; done, that its invocation has its final answer.
 func (b *Balancer) Ended(id string, no int, _ uint32, how Ending, took float64, done bool,
 	report map[string]float64) {
@@ -511,19 +451,8 @@
 		return
 	}
 	now := b.h.Now()
-	d := &inv.sent[no]
-	d.erred = how == Failed
-	d.open, d.ran = false, how != Full && how != NoConnect && how != Ignored
-	n := d.to
-	n.inflight--
-	n.open = slices.DeleteFunc(n.open, func(o opening) bool { return o.inv == inv && o.no == no })
-	if d.ran {
-		b.ends.add(now, 1)
-	}
-	n.reported(report, b.cold(n, now-reportLag)) // of which it may tell
-	if d.ver == b.ver && d.ran {
-		b.metAt = min(b.metAt, now)
-	}
+	d := b.closed(inv, no, how, now)
+	d.to.reported(report, b.cold(d.to, now-reportLag)) // of which it may tell
 	b.learn(inv, d, how, took, now)
 	if done && !inv.finished {
 		b.missed(now-inv.came > b.ops[inv.op].num("slo-ms", 0) && now-b.looked <= 3*lookEvery, true)
@@ -547,23 +476,20 @@
 		n.answered = now
 	}
 	if how != Failed && how != Ignored && !d.short {
-		late := 0.0
-		if how != Succeeded || took > b.ops[inv.op].num("slo-ms", 0) {
-			late = 1
-		}
-		b.late[n.Zone] += (late - b.late[n.Zone]) * 0.05
+		late := b.late[n.Zone]
+		fade(&late, how != Succeeded || took > b.ops[inv.op].num("slo-ms", 0), 0.05)
+		b.late[n.Zone] = late
 	}
 	if how == NoConnect {
-		b.noLink += (1 - b.noLink) * 0.1
+		fade(&b.noLink, true, 0.1)
 		n.link = 0
 	} else if how == Succeeded || how == Failed || how == Full {
-		b.noLink -= b.noLink * 0.02
+		fade(&b.noLink, false, 0.02)
 		n.link = now
 	}
 	failed := how == Failed || how == TimedOut && !d.short || how == Reset
 	if failed || how == NoConnect || how == Canceled {
-		n.bad = n.bad*0.9 + 1
-		n.good *= 0.9
+		n.good, n.bad = n.good*0.9, n.bad*0.9+1
 		n.penalty = min(2*n.penalty+500, 8000)
 		n.retest = now + n.penalty
 	} else if how == Full {
@@ -573,17 +499,12 @@
 		b.seenOf[inv.op]++
 		b.recent[inv.op] += (took - b.recent[inv.op]) * max(0.05, 1/b.seenOf[inv.op])
 		b.work.add(now, b.weigh(inv.cost))
-		if inv.key != "" && b.set.is("rollout.forward-only") && d.ver >= b.ver {
-			b.bound[inv.key] = max(b.bound[inv.key], d.ver) // also after its release: it can still go back
-		}
 	}
 	// A cold node is slow, not wrong: what it answers is evidence on success, not on latency. Without that a
 	// stage would be over before its nodes are old enough, and every vote on it blind.
-	if d.young && how != Failed && how != Succeeded || !failed && how != Succeeded {
-		return
-	}
-	// Crossing zones takes a link's trouble for the build's.
-	if n.Zone != int(b.set.num("zone", 0)) && how != Failed && how != Succeeded {
+	// Time-outs in another zone may be the link's.
+	far := n.Zone != int(b.set.num("zone", 0))
+	if how != Succeeded && how != Failed && (d.young || far || !failed) {
 		return
 	}
 	// A node that fails far more than others of its build is at fault itself, not its build.
@@ -652,15 +573,9 @@
 	now := b.h.Now()
 	const over = 4000
 	work := b.work.since(now-over) / min(over, max(now-b.begun, interval))
-	parts, cold := 0.0, false
-	for _, n := range b.order {
-		if n.Health == Serving {
-			parts += b.cold(n, now)
-			cold = cold || b.cold(n, now) < 1
-		}
-	}
-	b.median = b.medianFailing(func(*node) bool { return true })
-	if !cold || now-b.begun < over {
+	parts := b.capacity(now, every)
+	b.median = b.medianFailing(every)
+	if parts == b.serving(every) || now-b.begun < over {
 		b.served = work / max(parts, 1)
 	}
 }
@@ -669,16 +584,7 @@
 // fraction of the draws; at most doubling, and not below its share of the ready nodes.
 func (b *Balancer) setShare() {
 	now := b.h.Now()
-	trial, all := 0.0, 0.0 // by what they can do while cold
-	for _, n := range b.order {
-		if n.Health == Serving {
-			all += b.cold(n, now)
-			if b.onTrial(n.Ver) {
-				trial += b.cold(n, now)
-			}
-		}
-	}
-	ready := trial / max(all, 1e-9)
+	ready := b.capacity(now, func(n *node) bool { return b.onTrial(n.Ver) }) / max(b.capacity(now, every), 1e-9)
 	feasible := 0.0
 	for range draws {
 		within := 1.0
@@ -801,16 +707,12 @@
 // missed counts an invocation as late or given up, or not, against how many usually are. An error is neither: it
 // speaks against its node or build, or it is the invocation's own.
 func (b *Balancer) missed(yes, sent bool) {
-	late := 0.0
-	if yes {
-		late = 1
-	}
 	if sent { // not what was turned away: that would go on for its own sake
-		b.jam += (late - b.jam) * 0.03
+		fade(&b.jam, yes, 0.03)
 	}
-	b.misses += (late - b.misses) * 0.03
+	fade(&b.misses, yes, 0.03)
 	if b.misses < b.missesUsual+strained {
-		b.missesUsual += (late - b.missesUsual) * 0.003
+		fade(&b.missesUsual, yes, 0.003)
 	}
 }
 
@@ -859,13 +761,6 @@
 	b.h.Vote(b.ver, b.stage, v)
 }
 
-// Tallied brings what the platform counted of all marshals' dispatches, a build and operation at a time.
-func (b *Balancer) Tallied(ver, op, samples, errors int, mean, age float64) {
-	if op < len(b.ops) {
-		b.period[exposure{ver, op}] = posterior{good: float64(samples - errors), bad: float64(errors), mean: mean}
-	}
-}
-
 // settle takes the last tallies as the fleet's evidence. Both builds must have been counted in the period, and
 // the earlier one weighs no more than a few times the newest: else a slow spell, a burst or an outage that falls
 // on a time when one of them had most of the traffic would count for or against the build.
@@ -874,7 +769,7 @@
 		b.fleet = b.heard(before)
 		return
 	}
-	b.slow(b.period)
+	b.slow()
 	for op := range b.ops {
 		p, q := b.period[exposure{b.ver, op}], b.period[exposure{before, op}]
 		n, m := p.good+p.bad, q.good+q.bad
@@ -891,27 +786,18 @@
 }
 
 // slow follows what the fleet's dispatches take, against the usual.
-func (b *Balancer) slow(period map[exposure]posterior) {
-	took, count, usual := 0.0, 0.0, 0.0
+func (b *Balancer) slow() {
+	took, usual := 0.0, 0.0
 	for op := range b.ops {
-		t, n := 0.0, 0.0
-		for _, ver := range []int{b.ver, b.earlier()} {
-			p := period[exposure{ver, op}]
-			t += p.good * p.mean
-			n += p.good
-		}
-		if n == 0 {
-			continue
+		mean, n := b.counted(op)
+		if n > 0 && b.usualTime[op] == 0 {
+			b.usualTime[op] = mean
+		} else if n > 0 && mean < b.usualTime[op]*slowed {
+			b.usualTime[op] += (mean - b.usualTime[op]) * 0.1
 		}
-		if b.usualTime[op] == 0 {
-			b.usualTime[op] = t / n
-		}
-		if t/n < b.usualTime[op]*slowed {
-			b.usualTime[op] += (t/n - b.usualTime[op]) * 0.1
-		}
-		took, count, usual = took+t, count+n, usual+n*b.usualTime[op]
+		took, usual = took+n*mean, usual+n*b.usualTime[op]
 	}
-	if count > 0 {
+	if usual > 0 {
 		b.slowBy = took / usual
 	}
 }
@@ -925,13 +811,22 @@
 	}
 }
 
-// Told brings a peer's counts.
-func (b *Balancer) Told(from int, text string) {
-	if p, ok := parseCounts(text, len(b.ops)); ok {
-		b.peers[from] = p
+// failing is a node's share of failures, lately.
+func (n *node) failing() float64 { return (n.bad + 0.1) / (n.good + n.bad + 1) }
+
+// reported takes from a load report what one invocation is for the node: its busy share at its rate or, where
+// that is not told, its service time, less what comes of sharing its cores with as many as are there at once.
+func (n *node) reported(report map[string]float64, part float64) {
+	rate, work := report["rate"], 0.0
+	if busy := report["busy"]; busy > 0 && rate > 0 {
+		work = busy / rate
+	} else if service := report["service-ms"]; service > 0 {
+		work = service / (1 + service*rate/1000)
+	}
+	work *= part // of its capacity that it has at least: a cold one looks no heavier than it is
+	if work > 0 && n.work > 0 {
+		n.work += (work - n.work) * 0.2
+	} else if work > 0 {
+		n.work = work
 	}
 }
-
-// Probed and Flagged bring what no decision has been shown to gain from yet: docs/design.md.
-func (b *Balancer) Probed(id uint32, how Ending, took float64, report map[string]float64) {}
-func (b *Balancer) Flagged(id uint32, op int, age float64)                                {}
--- a/balance/state.go
+++ b/balance/state.go
@@ -1,10 +1,13 @@
 package balance
 
 import (
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
+
+	"arrowcleat/internal/pcg"
 )
 
 // State by how long it lives, and the plain helpers it needs. Nothing here decides.
@@ -114,26 +117,6 @@
 	full     float64 // until when it is left alone
 }
 
-// failing is a node's share of failures, lately.
-func (n *node) failing() float64 { return (n.bad + 0.1) / (n.good + n.bad + 1) }
-
-// reported takes from a load report what one invocation is for the node: its busy share at its rate or, where
-// that is not told, its service time, less what comes of sharing its cores with as many as are there at once.
-func (n *node) reported(report map[string]float64, part float64) {
-	rate, work := report["rate"], 0.0
-	if busy := report["busy"]; busy > 0 && rate > 0 {
-		work = busy / rate
-	} else if service := report["service-ms"]; service > 0 {
-		work = service / (1 + service*rate/1000)
-	}
-	work *= part // of its capacity that it has at least: a cold one looks no heavier than it is
-	if work > 0 && n.work > 0 {
-		n.work += (work - n.work) * 0.2
-	} else if work > 0 {
-		n.work = work
-	}
-}
-
 // opening is a dispatch that is out, as its node sees it.
 type opening struct {
 	inv *invocation
@@ -177,6 +160,142 @@
 	return p.squares / (p.n - 1)
 }
 
+// Listed brings the list of nodes, or what has changed of it.
+func (b *Balancer) Listed(whole bool, list []Node) { b.merge(whole, list, b.h.Now()) }
+
+// onTrial says whether a build is on trial for this instance.
+func (b *Balancer) onTrial(ver int) bool {
+	if !b.announced { // nothing told yet: all but the oldest build listed may be on trial
+		return b.serving(func(n *node) bool { return n.Ver < ver }) > 0
+	}
+	return ver > b.ver || ver == b.ver && b.phase != Released
+}
+
+// Began says that a streamed answer has started; the dispatch is the client's from here on.
+func (b *Balancer) Began(id string, no int, _ uint32, took float64) {
+	if inv := b.invs[id]; inv != nil && no < len(inv.sent) {
+		inv.sent[no].left = true // never to be cancelled
+	}
+}
+
+// Tallied brings what the platform counted of all marshals' dispatches, a build and operation at a time.
+func (b *Balancer) Tallied(ver, op, samples, errors int, mean, age float64) {
+	if op < len(b.ops) {
+		b.period[exposure{ver, op}] = posterior{good: float64(samples - errors), bad: float64(errors), mean: mean}
+	}
+}
+
+// Told brings a peer's counts.
+func (b *Balancer) Told(from int, text string) {
+	if p, ok := parseCounts(text, len(b.ops)); ok {
+		b.peers[from] = p
+	}
+}
+
+// Probed and Flagged bring what no decision has been shown to gain from yet: docs/design.md.
+func (b *Balancer) Probed(id uint32, how Ending, took float64, report map[string]float64) {}
+func (b *Balancer) Flagged(id uint32, op int, age float64)                                {}
+
+// living counts the nodes that answer, and what is out there: what is out at others waits for nothing.
+func (b *Balancer) living(now float64) (out, nodes float64) {
+	for _, n := range b.order {
+		if n.Health == Serving && !b.sick(n) && !b.silent(n, now) {
+			out += float64(n.inflight)
+			nodes++
+		}
+	}
+	return out, nodes
+}
+
+func newBalancer(h Host, settings Settings, seed uint64) *Balancer {
+	ops := settings.parts("operations")
+	return &Balancer{h: h, set: settings, ops: ops, rnd: rand.New(pcg.New(seed)), begun: h.Now(), looked: h.Now(),
+		nodes: map[uint32]*node{}, invs: map[string]*invocation{}, taken: map[int]*sliding{},
+		exposed: map[exposure]*sliding{}, late: map[int]float64{}, bound: map[string]int{},
+		period: map[exposure]posterior{}, peers: map[int]peer{}, posteriors: map[int][]posterior{},
+		usualTime: make([]float64, len(ops)), recent: make([]float64, len(ops)), seenOf: make([]float64, len(ops))}
+}
+
+// capacity adds up what the serving nodes for which something holds can do while some are cold.
+func (b *Balancer) capacity(now float64, holds func(*node) bool) (sum float64) {
+	for _, n := range b.order {
+		if n.Health == Serving && holds(n) {
+			sum += b.cold(n, now)
+		}
+	}
+	return sum
+}
+
+func every(*node) bool { return true }
+
+// those picks the nodes for which something holds.
+func those(pool []*node, holds func(*node) bool) []*node {
+	var some []*node
+	for _, n := range pool {
+		if holds(n) {
+			some = append(some, n)
+		}
+	}
+	return some
+}
+
+// fade moves a share towards yes or no.
+func fade(share *float64, yes bool, rate float64) {
+	to := 0.0
+	if yes {
+		to = 1
+	}
+	*share += (to - *share) * rate
+}
+
+// opened records a dispatch that goes out.
+func (b *Balancer) opened(inv *invocation, d dispatch) {
+	n := d.to
+	inv.sent = append(inv.sent, d)
+	n.inflight++
+	n.open = append(n.open, opening{inv, len(inv.sent) - 1})
+	b.exposedTo(n.Ver, inv.op).add(d.sent, 1)
+	b.exposedTo(n.Ver, -1).add(d.sent, 1)
+	if b.cold(n, d.sent) < 1 {
+		n.pushed.add(d.sent, b.weigh(inv.cost))
+	}
+}
+
+// closed records how it ended.
+func (b *Balancer) closed(inv *invocation, no int, how Ending, now float64) *dispatch {
+	d := &inv.sent[no]
+	d.open, d.erred, d.ran = false, how == Failed, how != Full && how != NoConnect && how != Ignored
+	n := d.to
+	n.inflight--
+	n.open = slices.DeleteFunc(n.open, func(o opening) bool { return o.inv == inv && o.no == no })
+	if d.ran {
+		b.ends.add(now, 1)
+		if d.ver == b.ver {
+			b.metAt = min(b.metAt, now)
+		}
+	}
+	if how == Succeeded && inv.key != "" && b.set.is("rollout.forward-only") && d.ver >= b.ver {
+		b.bound[inv.key] = max(b.bound[inv.key], d.ver) // also after its release: it can still go back
+	}
+	return d
+}
+
+// counted is the mean time and the number of an operation's answers by the platform's last counts.
+func (b *Balancer) counted(op int) (mean, n float64) {
+	for _, ver := range []int{b.ver, b.earlier()} {
+		p := b.period[exposure{ver, op}]
+		mean, n = mean+p.good*p.mean, n+p.good
+	}
+	return mean / max(n, 1), n
+}
+
+// place puts a key between 0 and 1.
+func place(key string) float64 {
+	h := fnv.New32a()
+	h.Write([]byte(key))
+	return float64(h.Sum32()) / (1 << 32)
+}
+
 // untried leaves out the nodes that an invocation has been sent to.
 func untried(pool []*node, inv *invocation) []*node {
 	if len(inv.sent) == 0 {
