--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -351,9 +351,10 @@
 		s.serve(300, "w", well)
 		s.trial(6000)
 		for i, mean := range []float64{50, 50 * times, 50 * times, 50 * times} {
+			s.b.Staged(2, 0, OnTrial, 0.1, float64(5000*i), true)
 			s.b.Tallied(1, 0, 100, 0, mean, 500)
 			s.b.Tallied(2, 0, 100, 0, mean, 500)
-			s.serve(5+20*i, fmt.Sprint("y", i, "-"), func(uint32) Ending {
+			s.serve(40, fmt.Sprint("y", i, "-"), func(uint32) Ending {
 				s.until(s.now + 300*(times-1)*min(1, float64(i)))
 				return Succeeded
 			})
@@ -361,8 +362,11 @@
 		fmt.Printf("%.0f times\n", times)
 	}
 	// Output:
-	// 108500  vote on on build 2 at stage 0
+	// 107000  vote on on build 2 at stage 0
 	// 1 times
+	// 107000  vote on on build 2 at stage 0
+	// 130000  vote back on build 2 at stage 0
+	// 149000  vote back on build 2 at stage 0
 	// 3 times
 }
 
--- a/balance/helper_test.go
+++ b/balance/helper_test.go
@@ -36,6 +36,8 @@
 func (s *stand) Tell(peer int, text string)            { s.say("tell %d %q", peer, text) }
 func (s *stand) Log(text string)                       {}
 func (s *stand) Vote(ver, stage int, verdict Verdict) {
+	defer func(mute bool) { s.mute = mute }(s.mute)
+	s.mute = false // votes are always told
 	s.say("vote %s on build %d at stage %d", [...]string{"none", "on", "hold", "back"}[verdict], ver, stage)
 }
 func (s *stand) Wake(after float64, handle int64) {
