--- a/balance/balance.go
+++ b/balance/balance.go
@@ -490,7 +490,9 @@
 	failed := how == Failed || how == TimedOut && !d.short || how == Reset
 	if failed || how == NoConnect || how == Canceled {
 		n.good, n.bad = n.good*0.9, n.bad*0.9+1
-		n.penalty = min(2*n.penalty+500, 8000)
+		// Of a trickle each node gets one in a while; a wait under that would spare it nothing.
+		least := max(500, b.serving(every)*(now-b.begun)/max(b.arrived, 1))
+		n.penalty = min(2*n.penalty+least, max(8000, 2*least))
 		n.retest = now + n.penalty
 	} else if how == Full {
 		n.full = now + fullFor
--- a/balance/state.go
+++ b/balance/state.go
@@ -181,6 +181,9 @@
 // Tallied brings what the platform counted of all marshals' dispatches, a build and operation at a time.
 func (b *Balancer) Tallied(ver, op, samples, errors int, mean, age float64) {
 	if op < len(b.ops) {
+		if ver == b.ver && samples > 0 { // its first answers, whoever got them
+			b.metAt = min(b.metAt, b.h.Now()-age-b.set.num("rollout.metrics-period-ms", 0))
+		}
 		b.period[exposure{ver, op}] = posterior{good: float64(samples - errors), bad: float64(errors), mean: mean}
 	}
 }
