--- a/balance/balance.go
+++ b/balance/balance.go
@@ -452,7 +452,9 @@
 	}
 	now := b.h.Now()
 	d := b.closed(inv, no, how, now)
-	d.to.reported(report, b.cold(d.to, now-reportLag)) // of which it may tell
+	if b.crowd() || !b.young(d.to, now-reportLag) { // few can wait for what tells of a warm node
+		d.to.reported(report, b.cold(d.to, now-reportLag))
+	}
 	b.learn(inv, d, how, took, now)
 	if done && !inv.finished {
 		b.missed(now-inv.came > b.ops[inv.op].num("slo-ms", 0) && now-b.looked <= 3*lookEvery, true)
@@ -630,8 +632,7 @@
 	// Where the fleet's outcomes are told, they have to be sure and the marshal's own, however few, to agree. Else
 	// of hundreds of marshals the one with the worst luck decides, or one failing node in all that is counted.
 	// A marshal of a few that decide is sure by itself.
-	some, many := b.set.num("rollout.noes-needed", 1), b.set.num("marshals", 1)
-	if fine2, worse2, n2, _ := b.compare(b.fleet[0], b.fleet[1], leastJudge); some*fewMarshals < many && n2 >= leastJudge {
+	if fine2, worse2, n2, _ := b.compare(b.fleet[0], b.fleet[1], leastJudge); b.crowd() && n2 >= leastJudge {
 		fine, worse, _, _ = b.compare(own, then, 2)
 		fine, worse, n = min(fine2, 2*fine), min(worse2, 2*worse), n2
 	}
@@ -640,7 +641,7 @@
 	switch {
 	case n >= leastJudge && worse >= confidence:
 		b.cast(Back, now, fmt.Sprintf("trails in success, %v of %v failed", bad, n))
-	case b.heavier(now) >= heavy:
+	case b.phase == OnTrial && b.heavier(now) >= heavy: // after its release the list may name earlier nodes long gone
 		b.cast(Back, now, "needs more work")
 	case now-b.strainSince >= strainFor && b.strainSince > b.metAt && b.slowBy >= slowed &&
 		b.strainSince < b.stageSince+2*blindAfter: // a build's begins with a stage, not long after its release
@@ -657,6 +658,11 @@
 	}
 }
 
+// crowd says that so many marshals judge for each vote needed that one of them will have bad luck.
+func (b *Balancer) crowd() bool {
+	return b.set.num("rollout.noes-needed", 1)*fewMarshals < b.set.num("marshals", 1)
+}
+
 // compare gives the chances that the newest build keeps up with the earlier one and that it is worse, over
 // all operations the least of the one and the greatest of the other, and its outcomes and failures.
 func (b *Balancer) compare(now, then []posterior, least float64) (fine, worse, n, bad float64) {
@@ -665,7 +671,7 @@
 	if n < least {
 		return 0, 0, n, bad
 	}
-	alone := b.serving(func(n *node) bool { return n.Ver < b.ver }) == 0
+	alone := b.crowd() && b.serving(func(n *node) bool { return n.Ver < b.ver }) == 0
 	for op := range now { // each operation, and all of them together
 		p, q := now[op], then[op]
 		// Errors are also judged alone: overload adds time-outs to both builds, which would drown them.
@@ -722,7 +728,7 @@
 // against the earlier build's nodes of its model: the median, so that one slow machine decides nothing. It
 // guards against builds that are slow but fail little; it is blind where nodes report no such thing.
 func (b *Balancer) heavier(now float64) float64 {
-	tells := func(n *node) bool { return n.Health == Serving && n.work > 0 }
+	tells := func(n *node) bool { return n.Health == Serving && n.work > 0 && (b.crowd() || !b.young(n, now)) }
 	sum, count := map[int]float64{}, map[int]float64{}
 	for _, n := range b.order {
 		if tells(n) && n.Ver < b.ver {
@@ -742,7 +748,7 @@
 	slices.Sort(ratios)
 	// The invocations of this marshal must have taken longer too, or the reports tell of something else.
 	mine, before := b.posterior(b.ver)[len(b.ops)], b.posterior(b.earlier())[len(b.ops)]
-	if b.fleet[0][len(b.ops)].n >= leastJudge { // or those of the fleet
+	if b.crowd() { // or those of the fleet
 		mine, before = b.fleet[0][len(b.ops)], b.fleet[1][len(b.ops)]
 	}
 	if mine.n < leastJudge || mine.mean < slower*before.mean {
