--- a/balance/balance.go
+++ b/balance/balance.go
@@ -50,14 +50,6 @@
 	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
 )
 
-// The handles of the instance's timers.
-const (
-	wakeInterval = iota
-	wakeHeld
-	wakeWatch
-	wakeSilent
-)
-
 // New starts an instance.
 func New(h Host, settings Settings, seed uint64) *Balancer {
 	b := newBalancer(h, settings, seed)
@@ -203,10 +195,7 @@
 		if op.text("repeat", "") != "fingerprinted" || now >= d.sent+op.num("memory-ms", 0) {
 			return false
 		}
-		switch group := op.text("group", ""); {
-		case group == "all", group == "zone" && n.Zone == d.to.Zone:
-		case group == "cell" && n.Zone == d.to.Zone && n.Cell == d.to.Cell:
-		default:
+		if !n.groupedWith(d.to, op.text("group", "")) {
 			return false
 		}
 	}
@@ -238,10 +227,9 @@
 
 func (b *Balancer) young(n *node, now float64) bool { return n.Started > 0 && now-n.Started < readyAge }
 
-// tooCold keeps a starting node from being pushed over: what this marshal sends it within the rule's window
-// stays under the multiple of what a warm node does for this marshal, so the marshals together stay under it.
-// That may be less than one invocation: then so many of the marshals send one that it is right on the whole, by
-// a lot drawn for each node. It guards against hundreds of marshals that each round up, and against none daring.
+// tooCold keeps a starting node from being pushed over: what this marshal sends it stays under the rule's multiple
+// of what a warm node does for it, so all together do. What is less than one invocation goes by a lot drawn for
+// each node: that guards against hundreds of marshals that each round up, and against none daring.
 func (b *Balancer) tooCold(n *node, now float64) bool {
 	part := b.cold(n, now)
 	if part >= 1 {
@@ -265,9 +253,8 @@
 	return pool[i]
 }
 
-// linked keeps to nodes that have answered within the time an idle connection lasts, once new connections fail
-// often: it guards against nodes that accept few connections and against slow handshakes, where a trickle over
-// the whole fleet would pay for a new one each time. It may hurt where nodes are lost and others join.
+// linked keeps to nodes whose connection is known to last, once new ones fail often: it guards against nodes that
+// accept few and against slow handshakes. It may hurt where many nodes are lost while others join.
 func (b *Balancer) linked(pool []*node, now float64) []*node {
 	if b.noLink < linkTrouble {
 		return pool
@@ -288,7 +275,7 @@
 // healthy leaves out nodes that fail more than the fleet's median or do not answer; it fails open.
 func (b *Balancer) healthy(pool []*node, now float64) []*node {
 	well := those(pool, func(n *node) bool { return (!b.sick(n) || now >= n.retest) && !b.silent(n, now) })
-	if len(well) == 0 || len(well)*3 < len(pool) {
+	if len(well)*3 < len(pool) {
 		return pool
 	}
 	return well
@@ -297,9 +284,8 @@
 // sick nodes get one dispatch at a time, and after each failure the next one later.
 func (b *Balancer) sick(n *node) bool { return n.failing() > b.median+sickBy }
 
-// silent says that a node that lives would have answered something by now: were its answers to come at random
-// after the operation's mean latency, the chance that all that is out stays out falls with the waits' sum. Of
-// many out one long wait decides; a trickle to a large fleet has to wait for several latencies.
+// silent says that a node that lives would have answered something by now: the chance that it has not falls with
+// the sum of the waits at it. It guards against striking living nodes where a marshal has a trickle out.
 func (b *Balancer) silent(n *node, now float64) bool {
 	waits := 0.0
 	for _, o := range n.open {
@@ -313,39 +299,35 @@
 	return max(b.ops[op].num("slo-ms", 0)*0.5, silence*b.recent[op])
 }
 
-// nearby keeps to the own zone where crossing has a price, unless nothing there is free or so much less is
-// answered soon there than in another zone that crossing pays; then a part crosses, more with the difference.
-// It guards against traffic that moves to one zone, lost nodes and slow links alike: a zone behind a slow link
-// does not look better. It may hurt where a zone is slow for a moment only.
+// nearby keeps to the own zone where crossing has a price, unless nothing there is free or another zone answers so
+// much more in time that crossing pays; then a part crosses. It guards against traffic that moves to one zone, lost
+// nodes and slow links alike: what is behind a slow link looks no better. It may hurt where a zone is slow briefly.
 func (b *Balancer) nearby(pool []*node, now float64) []*node {
 	price, own := b.set.num("prices.cross-zone", 0), int(b.set.num("zone", 0))
 	if price <= 0 {
 		return pool
 	}
-	least, leastNear, far := math.Inf(1), math.Inf(1), own
+	far := own
 	for _, n := range pool {
-		least = min(least, b.load(n, now))
-		if n.Zone == own {
-			leastNear = min(leastNear, b.load(n, now))
-		} else if far == own || b.soon(n.Zone) > b.soon(far) {
+		if n.Zone != own && (far == own || b.soon(n.Zone) > b.soon(far)) {
 			far = n.Zone
 		}
 	}
-	to := own
 	if gain := b.soon(far) - b.soon(own) - price; gain > 0 && b.rnd.Float64() < crossing*gain {
-		to = far
-	} else if math.IsInf(leastNear, 1) || leastNear > least+2 {
+		return those(pool, func(n *node) bool { return n.Zone == far })
+	}
+	near := those(pool, func(n *node) bool { return n.Zone == own })
+	if b.leastLoad(near, now) > b.leastLoad(pool, now)+2 {
 		return pool
 	}
-	return those(pool, func(n *node) bool { return n.Zone == to })
+	return near
 }
 
 // soon is the share of dispatches to a zone that are answered within the SLO time, lately.
 func (b *Balancer) soon(zone int) float64 { return 1 - b.late[zone] }
 
-// desert stops waiting for dispatches at silent nodes whose invocations may be sent again: a time limit would
-// also strike what only waits its turn at a busy node, and doing that work twice makes the node busier still.
-// It guards against hung, vanished and long-paused nodes; it may hurt where one answer takes far longer.
+// desert stops waiting at silent nodes for what may be sent again: a time limit would also strike what waits its
+// turn at a busy node. It guards against hung, vanished and paused nodes; it may hurt where an answer takes long.
 func (b *Balancer) desert(now float64) {
 	for _, n := range b.order {
 		if !b.silent(n, now) {
@@ -371,10 +353,9 @@
 	}) > 0
 }
 
-// overloaded says that more is out than the fleet answers in the time that may be spent at a node (Little's
-// law), so that what is added would only wait. It guards against bursts, machines lost and a fleet slowed
-// as a whole, whatever the cause. What was out in calm times is never too much: answers that come slowly for
-// another reason than waiting would otherwise leave the fleet idle. It may hurt when half the fleet is gone.
+// overloaded says that more is out than the fleet answers in the time that may be spent at a node (Little's law);
+// what was out in calm times is never too much, or slow answers would leave the fleet idle. It guards against
+// bursts, machines lost and a fleet slowed as a whole. It may hurt when half the fleet is gone.
 func (b *Balancer) overloaded(inv *invocation) bool {
 	b.arrived++
 	b.slo += (b.ops[inv.op].num("slo-ms", 0) - b.slo) / min(100, b.arrived)
@@ -435,10 +416,8 @@
 
 // Lapsed says that the client of an invocation is gone.
 func (b *Balancer) Lapsed(id string) {
-	if inv := b.invs[id]; inv != nil {
-		if !inv.finished {
-			b.missed(true, true)
-		}
+	if inv := b.invs[id]; inv != nil && !inv.finished {
+		b.missed(true, true)
 		b.finish(inv)
 	}
 }
@@ -466,8 +445,7 @@
 	b.send(inv)
 }
 
-// learn takes an outcome as evidence on the node, the build and the fleet. What comes in after this marshal has
-// stood still, its timer late by as much, is evidence of nothing but an answer: it guards against stalls.
+// learn takes an outcome as evidence on node, build and fleet; after an own stall, as evidence of nothing.
 func (b *Balancer) learn(inv *invocation, d *dispatch, how Ending, took, now float64) {
 	n := d.to
 	if now-b.looked > 3*lookEvery || now == b.stalled {
@@ -504,9 +482,8 @@
 		b.recent[inv.op] += (took - b.recent[inv.op]) * max(0.05, 1/b.seenOf[inv.op])
 		b.work.add(now, b.weigh(inv.cost))
 	}
-	// A cold node is slow, not wrong: what it answers is evidence on success, not on latency. Without that a
-	// stage would be over before its nodes are old enough, and every vote on it blind.
-	// Time-outs in another zone may be the link's.
+	// A cold node is slow, not wrong: its answers are evidence on success, or a stage would be over before there
+	// is any. Time-outs in another zone may be the link's.
 	far := n.Zone != int(b.set.num("zone", 0))
 	if how != Succeeded && how != Failed && (d.young || far || !failed) {
 		return
@@ -516,16 +493,8 @@
 		return
 	}
 	all := b.posterior(d.ver)
-	for _, p := range []*posterior{&all[inv.op], &all[len(b.ops)]} {
-		if failed {
-			p.failed(how)
-			continue
-		}
-		p.good++
-		if !d.young {
-			p.took(took)
-		}
-	}
+	all[inv.op].outcome(how, took, !d.young)
+	all[len(b.ops)].outcome(how, took, !d.young)
 }
 
 // Woke is a timer's end.
@@ -548,14 +517,7 @@
 		b.judge()
 		b.tellPeers()
 	case wakeHeld:
-		waiting := b.held
-		b.held = nil
-		for _, inv := range waiting {
-			inv.held = false
-			if !inv.finished {
-				b.send(inv)
-			}
-		}
+		b.sendHeld()
 	case wakeSilent:
 		now := b.h.Now()
 		b.h.Wake(lookEvery, wakeSilent)
@@ -571,8 +533,8 @@
 	}
 }
 
-// measure finds what a warm node does for this marshal. It keeps the last figure while nodes are cold: work
-// then goes by the cold nodes' budget, and a budget that followed it would shrink until nothing is sent.
+// measure finds what a warm node does for this marshal, and keeps it while nodes are cold: a budget that followed
+// what they are sent would shrink until nothing is.
 func (b *Balancer) measure() {
 	now := b.h.Now()
 	const over = 4000
@@ -629,9 +591,8 @@
 	b.settle(before)
 	own, then := b.posterior(b.ver), b.posterior(before)
 	fine, worse, n, bad := b.compare(own, then, leastJudge)
-	// Where the fleet's outcomes are told, they have to be sure and the marshal's own, however few, to agree. Else
-	// of hundreds of marshals the one with the worst luck decides, or one failing node in all that is counted.
-	// A marshal of a few that decide is sure by itself.
+	// Of a crowd the marshal with the worst luck would decide, or one failing node in all that is counted: there the
+	// fleet's outcomes have to be sure, and the marshal's own, however few, to agree.
 	if fine2, worse2, n2, _ := b.compare(b.fleet[0], b.fleet[1], leastJudge); b.crowd() && n2 >= leastJudge {
 		fine, worse, _, _ = b.compare(own, then, 2)
 		fine, worse, n = min(fine2, 2*fine), min(worse2, 2*worse), n2
@@ -712,8 +673,7 @@
 	return b.stage != len(b.set.nums("rollout.stage-share"))-2 || young*2 <= all && all > 0
 }
 
-// missed counts an invocation as late or given up, or not, against how many usually are. An error is neither: it
-// speaks against its node or build, or it is the invocation's own.
+// missed counts an invocation as late or given up, or not. An error is neither: it may be the invocation's own.
 func (b *Balancer) missed(yes, sent bool) {
 	if sent { // not what was turned away: that would go on for its own sake
 		fade(&b.jam, yes, 0.03)
@@ -724,28 +684,13 @@
 	}
 }
 
-// heavier is how much more work an invocation is for the build on trial, by what its nodes report, each
-// against the earlier build's nodes of its model: the median, so that one slow machine decides nothing. It
-// guards against builds that are slow but fail little; it is blind where nodes report no such thing.
+// heavier is how much more work an invocation is for the build on trial by its nodes' reports: the lower median, so
+// that one slow machine decides nothing. It guards against builds that are slow but fail little.
 func (b *Balancer) heavier(now float64) float64 {
-	tells := func(n *node) bool { return n.Health == Serving && n.work > 0 && (b.crowd() || !b.young(n, now)) }
-	sum, count := map[int]float64{}, map[int]float64{}
-	for _, n := range b.order {
-		if tells(n) && n.Ver < b.ver {
-			sum[n.Model] += n.work
-			count[n.Model]++
-		}
-	}
-	var ratios []float64
-	for _, n := range b.order {
-		if tells(n) && n.Ver == b.ver && count[n.Model] > 0 {
-			ratios = append(ratios, n.work*count[n.Model]/sum[n.Model])
-		}
-	}
+	ratios := b.workRatios(func(n *node) bool { return n.Health == Serving && n.work > 0 && (b.crowd() || !b.young(n, now)) })
 	if len(ratios) < 2 {
 		return 0
 	}
-	slices.Sort(ratios)
 	// The invocations of this marshal must have taken longer too, or the reports tell of something else.
 	mine, before := b.posterior(b.ver)[len(b.ops)], b.posterior(b.earlier())[len(b.ops)]
 	if b.crowd() { // or those of the fleet
@@ -769,9 +714,8 @@
 	b.h.Vote(b.ver, b.stage, v)
 }
 
-// settle takes the last tallies as the fleet's evidence. Both builds must have been counted in the period, and
-// the earlier one weighs no more than a few times the newest: else a slow spell, a burst or an outage that falls
-// on a time when one of them had most of the traffic would count for or against the build.
+// settle takes the last tallies as the fleet's evidence, both builds over the same periods and the earlier one at
+// a few times the newest: else a slow spell while one of them had the traffic would speak for or against it.
 func (b *Balancer) settle(before int) {
 	if b.set.is("limits.may-tell") {
 		b.fleet = b.heard(before)
--- a/balance/state.go
+++ b/balance/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -130,10 +131,19 @@
 	n, mean, squares float64 // latency: Welford's running mean and sum of squares
 }
 
-func (p *posterior) failed(how Ending) {
-	p.bad++
-	if how == Failed {
+// outcome counts a success with its latency, if that is to count, or a failure.
+func (p *posterior) outcome(how Ending, took float64, timed bool) {
+	switch how {
+	case Succeeded:
+		p.good++
+		if timed {
+			p.took(took)
+		}
+	case Failed:
 		p.errors++
+		p.bad++
+	default:
+		p.bad++
 	}
 }
 
@@ -299,6 +309,60 @@
 	return float64(h.Sum32()) / (1 << 32)
 }
 
+// workRatios are, sorted, what an invocation is for each of the newest build's nodes that tell, against the mean of
+// the earlier builds' nodes of its model.
+func (b *Balancer) workRatios(tells func(*node) bool) (ratios []float64) {
+	sum, count := map[int]float64{}, map[int]float64{}
+	for _, n := range b.order {
+		if n.Ver < b.ver && tells(n) {
+			sum[n.Model] += n.work
+			count[n.Model]++
+		}
+	}
+	for _, n := range b.order {
+		if n.Ver == b.ver && count[n.Model] > 0 && tells(n) {
+			ratios = append(ratios, n.work*count[n.Model]/sum[n.Model])
+		}
+	}
+	slices.Sort(ratios)
+	return ratios
+}
+
+// groupedWith says that two nodes drop repeats of each other's invocations.
+func (n *node) groupedWith(o *node, group string) bool {
+	return group == "all" || group == "zone" && n.Zone == o.Zone ||
+		group == "cell" && n.Zone == o.Zone && n.Cell == o.Cell
+}
+
+// sendHeld sends on what has been held.
+func (b *Balancer) sendHeld() {
+	waiting := b.held
+	b.held = nil
+	for _, inv := range waiting {
+		inv.held = false
+		if !inv.finished {
+			b.send(inv)
+		}
+	}
+}
+
+// The handles of the instance's timers.
+const (
+	wakeInterval = iota
+	wakeHeld
+	wakeWatch
+	wakeSilent
+)
+
+// leastLoad is the least among some nodes, of none without bound.
+func (b *Balancer) leastLoad(some []*node, now float64) float64 {
+	least := math.Inf(1)
+	for _, n := range some {
+		least = min(least, b.load(n, now))
+	}
+	return least
+}
+
 // untried leaves out the nodes that an invocation has been sent to.
 func untried(pool []*node, inv *invocation) []*node {
 	if len(inv.sent) == 0 {
