--- a/balance/balance.go
+++ b/balance/balance.go
@@ -16,45 +16,45 @@
 )
 
 const (
-	interval    = 500.0   // ms between two settings of the trial share
-	draws       = 100     // draws of the posteriors each interval
-	judgeDraws  = 400     // draws for a verdict
-	confidence  = 0.95    // what a chance has to reach for a verdict
-	leastJudge  = 10.0    // outcomes of the trial build before it is judged
-	priorWeight = 10.0    // outcomes that the earlier build's success is worth as the prior of the next
-	slower      = 1.15    // the latency at which a build still counts as keeping up
-	pointsOn    = 0.01    // success a build may trail by and still go on
-	pointsBack  = 0.02    // success it must trail by to go back
-	blindAfter  = 4000.0  // ms of a stage without verdict until it is voted on
-	readyAge    = 5000.0  // ms since its start until a node's outcomes are evidence
-	margin      = 10.0    // ms kept before a client's own time is up
-	leastOut    = 3.0     // dispatches out that are never too many
-	calmTimes   = 1.5     // what may be out, against the mean of calm times
-	sickBy      = 0.3     // share of failures over the median that makes a node sick
-	fullFor     = 100.0   // ms a node is left alone that turned something away unseen
-	spillAt     = 2.0     // load of a trial node against an earlier one's at which the earlier takes over
-	reportLag   = 3000.0  // ms that a node's report may tell of
-	heavy       = 1.7     // times the work of the earlier build at which a build goes back
-	strained    = 0.25    // share of invocations missing their SLO time over the usual that is trouble
-	strainFor   = 12000.0 // ms of it under a build until that goes back
-	silence     = 7.0     // mean latencies after which one dispatch unanswered makes its node silent
-	firstGuess  = 4.0     // of the SLO time one part is taken for the latency before any is known
-	jamTimes    = 1.2     // invocations taken for one answered in time, beyond which some are turned away
-	crossing    = 2.0     // part that crosses, for each part more that is answered soon there
-	slowed      = 2.0     // what the fleet's dispatches take against the usual, from which on it has trouble
-	tellEvery   = 2000.0  // ms between two messages to the peers
-	lookEvery   = 100.0   // ms between two looks for silent nodes, and the measure of a stall of this marshal
-	linkTrouble = 0.15    // share of dispatches without connection from which on known connections are kept to
-	fewMarshals = 10.0    // marshals for each whose vote is needed, up to which each is sure by itself
-	spared      = 0.45    // of the bound that is kept for the operations worth most
-	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
+	interval    = 500.0        // ms between two settings of the trial share
+	draws       = 100          // draws of the posteriors each interval
+	judgeDraws  = 400          // draws for a verdict
+	confidence  = 0.95         // what a chance has to reach for a verdict
+	leastJudge  = 10.0         // outcomes of the trial build before it is judged
+	priorWeight = 10.0         // outcomes that the earlier build's success is worth as the prior of the next
+	slower      = 1.15         // the latency at which a build still counts as keeping up
+	pointsOn    = 0.01         // success a build may trail by and still go on
+	pointsBack  = 0.02         // success it must trail by to go back
+	blindAfter  = 4000.0       // ms of a stage without verdict until it is voted on
+	readyAge    = 5000.0       // ms since its start until a node's outcomes are evidence
+	margin      = 10.0         // ms kept before a client's own time is up
+	leastOut    = 3.0          // dispatches out that are never too many
+	calmTimes   = 1.5          // what may be out, against the mean of calm times
+	sickBy      = 0.3          // share of failures over the median that makes a node sick
+	fullFor     = 100.0        // ms a node is left alone that turned something away unseen
+	spillAt     = 2.0          // load of a trial node against an earlier one's at which the earlier takes over
+	reportLag   = 3000.0       // ms that a node's report may tell of
+	heavy       = 1.7          // times the work of the earlier build at which a build goes back
+	strained    = 0.25         // share of invocations missing their SLO time over the usual that is trouble
+	strainFor   = 12000.0      // ms of it under a build until that goes back
+	silence     = 7.0          // mean latencies after which one dispatch unanswered makes its node silent
+	firstGuess  = 4.0          // of the SLO time one part is taken for the latency before any is known
+	jamTimes    = 1.2          // invocations taken for one answered in time, beyond which some are turned away
+	crossing    = 2.0          // part that crosses, for each part more that is answered soon there
+	slowed      = 2.0          // what the fleet's dispatches take against the usual, from which on it has trouble
+	tellEvery   = 4 * interval // between two messages to the peers
+	lookEvery   = 100.0        // ms between two looks for silent nodes, and the measure of a stall of this marshal
+	linkTrouble = 0.15         // share of dispatches without connection from which on known connections are kept to
+	fewMarshals = 10.0         // marshals for each whose vote is needed, up to which each is sure by itself
+	spared      = 0.45         // of the bound that is kept for the operations worth most
+	queueFor    = 0.5          // of the SLO time that may be spent in work and waiting at a node
 )
 
 // New starts an instance.
 func New(h Host, settings Settings, seed uint64) *Balancer {
 	b := newBalancer(h, settings, seed)
 	for op := range b.ops { // until told better
-		b.recent[op], b.seenOf[op] = b.ops[op].num("slo-ms", 0)/firstGuess, 1
+		b.recent[op], b.seenOf[op] = b.sloOf(op)/firstGuess, 1
 	}
 	if settings.text("discovery", "subscribe") == "subscribe" {
 		h.Watch(true)
@@ -83,9 +83,7 @@
 		return
 	}
 	if ver > b.ver || !b.announced {
-		b.share, b.metAt, b.strainSince = 0, math.Inf(1), now
-		b.atStart = slices.Clone(b.posterior(b.earlierThan(ver)))
-		b.fleet = [2][]posterior{make([]posterior, len(b.ops)+1), make([]posterior, len(b.ops)+1)}
+		b.renew(ver, now)
 	}
 	if phase != OnTrial && phase != Released {
 		maps.DeleteFunc(b.bound, func(_ string, to int) bool { return to <= ver }) // not those of a later one
@@ -97,21 +95,18 @@
 // VoteFailed says how a vote ended that was not answered.
 func (b *Balancer) VoteFailed(ending Ending) {
 	b.voteOut = false
-	now := b.h.Now()
 	if ending == TimedOut { // it may count, so it is taken to stand for a while
-		b.voteUntil = now + b.set.num("rollout.vote-ttl-ms", 0)/2
+		b.voteUntil = b.h.Now() + b.set.num("rollout.vote-ttl-ms", 0)/2
 		return
 	}
-	b.vote, b.voteNext = NoVote, now+1000
+	b.vote, b.voteNext = NoVote, b.h.Now()+1000
 }
 
 // Arrived takes an invocation: from here on it is owed one final answer within budget.
 func (b *Balancer) Arrived(id string, op, tenant int, key string, budget, cost float64, retry, write bool) {
 	now := b.h.Now()
 	inv := &invocation{id: id, op: op, tenant: tenant, key: key, came: now, due: now + budget, cost: cost}
-	b.invs[id] = inv
-	b.count(b.takenBy(-1), now)
-	b.count(b.takenBy(op), now)
+	b.take(inv)
 	if b.overloaded(inv) {
 		b.giveUp(inv)
 		return
@@ -120,12 +115,9 @@
 }
 
 // send is the ordinary path of an invocation, from the choice of its build to its dispatch.
-func (b *Balancer) send(inv *invocation) {
+func (b *Balancer) send(inv *invocation) { // nothing of it is out: two copies at once are not made use of
 	now := b.h.Now()
 	left := inv.due - now
-	if inv.out() {
-		return // two copies at once are not made use of
-	}
 	if left <= margin || len(inv.sent) >= int(b.set.num("limits.most-tries", 1)) {
 		b.giveUp(inv)
 		return
@@ -146,7 +138,6 @@
 		}
 	}
 
-	// The build on trial gets its share of first dispatches.
 	pool := earlier
 	if len(trial) > 0 && (len(earlier) == 0 || len(inv.sent) == 0 && b.draw(inv) < b.share) {
 		pool = trial
@@ -165,11 +156,11 @@
 		}
 	}
 
-	slo := b.ops[inv.op].num("slo-ms", 0)
 	if b.sick(n) {
 		n.retest = now + n.penalty
 	}
-	b.opened(inv, dispatch{to: n, ver: n.Ver, sent: now, young: b.young(n, now), short: left < slo, open: true, ran: true})
+	b.opened(inv, dispatch{to: n, ver: n.Ver, sent: now, young: b.young(n, now), short: left < b.sloOf(inv.op),
+		open: true, ran: true})
 	b.h.Dispatch(inv.id, n.ID, left)
 }
 
@@ -192,10 +183,8 @@
 		if !d.ran || op.text("repeat", "") == "idempotent" {
 			continue
 		}
-		if op.text("repeat", "") != "fingerprinted" || now >= d.sent+op.num("memory-ms", 0) {
-			return false
-		}
-		if !n.groupedWith(d.to, op.text("group", "")) {
+		if op.text("repeat", "") != "fingerprinted" || now >= d.sent+op.num("memory-ms", 0) ||
+			!n.groupedWith(d.to, op.text("group", "")) {
 			return false
 		}
 	}
@@ -212,11 +201,7 @@
 		b.ops[op].text("repeat", "") != "idempotent" {
 		return false
 	}
-	over := b.set.num("rollout.counted-over-ms", 0)
-	scope := -1
-	if b.set.text("rollout.cap-scope", "each_class") == "each_class" {
-		scope = op
-	}
+	over, scope := b.set.num("rollout.counted-over-ms", 0), b.scope(op)
 	free := b.set.num("rollout.allowance", 0)
 	if now-b.begun < over { // an instance that was here before may have used its allowance up
 		free = 0
@@ -227,9 +212,10 @@
 
 func (b *Balancer) young(n *node, now float64) bool { return n.Started > 0 && now-n.Started < readyAge }
 
-// tooCold keeps a starting node from being pushed over: what this marshal sends it stays under the rule's multiple
-// of what a warm node does for it, so all together do. What is less than one invocation goes by a lot drawn for
-// each node: that guards against hundreds of marshals that each round up, and against none daring.
+// tooCold keeps a starting node from being pushed over: what this marshal sends it stays under the rule's
+// multiple of what a warm node does for it, so all together do. What is less than one invocation goes by a
+// lot drawn for each node: that guards against hundreds of marshals that each round up, and against none
+// daring.
 func (b *Balancer) tooCold(n *node, now float64) bool {
 	part := b.cold(n, now)
 	if part >= 1 {
@@ -253,18 +239,15 @@
 	return pool[i]
 }
 
-// linked keeps to nodes whose connection is known to last, once new ones fail often: it guards against nodes that
-// accept few and against slow handshakes. It may hurt where many nodes are lost while others join.
+// linked keeps to nodes whose connection is known to last, once new ones fail often: it guards against nodes
+// that accept few and against slow handshakes. It may hurt where many nodes are lost while others join.
 func (b *Balancer) linked(pool []*node, now float64) []*node {
-	if b.noLink < linkTrouble {
-		return pool
-	}
-	idle := b.set.num("limits.conn-idle-ms", 10000)
-	there := those(pool, func(n *node) bool { return n.link > 0 && now-n.link <= idle })
-	if len(there) == 0 {
-		return pool
+	if idle := b.set.num("limits.conn-idle-ms", 10000); b.noLink >= linkTrouble {
+		if there := those(pool, func(n *node) bool { return n.link > 0 && now-n.link <= idle }); len(there) > 0 {
+			return there
+		}
 	}
-	return there
+	return pool
 }
 
 // load is what is in flight at a node against its size, and what of that it has while cold.
@@ -281,11 +264,11 @@
 	return well
 }
 
-// sick nodes get one dispatch at a time, and after each failure the next one later.
+// sick nodes get one dispatch at a time, after each failure later.
 func (b *Balancer) sick(n *node) bool { return n.failing() > b.median+sickBy }
 
-// silent says that a node that lives would have answered something by now: the chance that it has not falls with
-// the sum of the waits at it. It guards against striking living nodes where a marshal has a trickle out.
+// silent says that a node that lives would have answered something by now: the chance that it has not falls
+// with the sum of the waits at it. It guards against striking living nodes where a marshal has a trickle out.
 func (b *Balancer) silent(n *node, now float64) bool {
 	waits := 0.0
 	for _, o := range n.open {
@@ -295,13 +278,11 @@
 }
 
 // patience is how long one dispatch alone may stay unanswered until its node counts as silent.
-func (b *Balancer) patience(op int) float64 {
-	return max(b.ops[op].num("slo-ms", 0)*0.5, silence*b.recent[op])
-}
+func (b *Balancer) patience(op int) float64 { return max(b.sloOf(op)/2, silence*b.recent[op]) }
 
-// nearby keeps to the own zone where crossing has a price, unless nothing there is free or another zone answers so
-// much more in time that crossing pays; then a part crosses. It guards against traffic that moves to one zone, lost
-// nodes and slow links alike: what is behind a slow link looks no better. It may hurt where a zone is slow briefly.
+// nearby keeps to the own zone where crossing has a price, unless nothing there is free or another zone
+// answers so much more in time that crossing pays; then a part crosses. It guards against traffic that moves,
+// lost nodes and slow links: behind one nothing looks better. It may hurt where a zone is slow briefly.
 func (b *Balancer) nearby(pool []*node, now float64) []*node {
 	price, own := b.set.num("prices.cross-zone", 0), int(b.set.num("zone", 0))
 	if price <= 0 {
@@ -324,10 +305,11 @@
 }
 
 // soon is the share of dispatches to a zone that are answered within the SLO time, lately.
-func (b *Balancer) soon(zone int) float64 { return 1 - b.late[zone] }
+func (b *Balancer) soon(zone int) float64 { return 1 - *b.lateAt(zone) }
 
-// desert stops waiting at silent nodes for what may be sent again: a time limit would also strike what waits its
-// turn at a busy node. It guards against hung, vanished and paused nodes; it may hurt where an answer takes long.
+// desert stops waiting at silent nodes for what may be sent again: a time limit would also strike what waits
+// its turn at a busy node. It guards against hung, vanished and paused nodes; it may hurt where an answer
+// takes long.
 func (b *Balancer) desert(now float64) {
 	for _, n := range b.order {
 		if !b.silent(n, now) {
@@ -345,26 +327,21 @@
 
 // repeatable says that some other node could be sent this invocation now.
 func (b *Balancer) repeatable(inv *invocation, now float64) bool {
-	if len(inv.sent) >= int(b.set.num("limits.most-tries", 1)) || inv.sent[len(inv.sent)-1].left {
-		return false
-	}
-	return b.serving(func(n *node) bool {
-		return !b.silent(n, now) && !b.onTrial(n.Ver) && b.mayFollow(inv, n, now)
-	}) > 0
+	return len(inv.sent) < int(b.set.num("limits.most-tries", 1)) && !inv.sent[len(inv.sent)-1].left &&
+		b.serving(func(n *node) bool {
+			return !b.silent(n, now) && !b.onTrial(n.Ver) && b.mayFollow(inv, n, now)
+		}) > 0
 }
 
-// overloaded says that more is out than the fleet answers in the time that may be spent at a node (Little's law);
-// what was out in calm times is never too much, or slow answers would leave the fleet idle. It guards against
-// bursts, machines lost and a fleet slowed as a whole. It may hurt when half the fleet is gone.
+// overloaded says that more is out than the fleet answers in the time that may be spent at a node (Little's
+// law); what was out in calm times is never too much, or slow answers would leave the fleet idle. It guards
+// against bursts, machines lost and a fleet slowed as a whole. It may hurt when half the fleet is gone.
 func (b *Balancer) overloaded(inv *invocation) bool {
-	b.arrived++
-	b.slo += (b.ops[inv.op].num("slo-ms", 0) - b.slo) / min(100, b.arrived)
-	b.usualCost += (b.weigh(inv.cost) - b.usualCost) / min(100, b.arrived)
 	out, living := b.living(inv.came)
 	room := max(leastOut, b.calm*calmTimes*living, b.pace*b.slo*queueFor)
 	part := 1 + spared*(b.yield(inv.op)-0.7)
 	over := out >= room*part && inv.came-b.begun >= 2*interval
-	// Of few out a bound tells nothing: what came to nothing of late is then turned away in part, by chance.
+	// Of few out a bound tells nothing: then part goes by what came to nothing of late.
 	over = over || b.rnd.Float64()*part < min(0.9, 1-jamTimes*(1-b.jam))
 	b.turned = b.turned || over
 	return over
@@ -385,17 +362,13 @@
 // hold keeps an invocation that can be sent nowhere now, as long as it could still be answered in time.
 func (b *Balancer) hold(inv *invocation, now float64) {
 	hopeless := len(inv.sent) > 0 && b.serving(func(n *node) bool { return b.mayFollow(inv, n, now) }) == 0
-	until := min(inv.due-margin, inv.came+b.ops[inv.op].num("slo-ms", 0)-b.recent[inv.op])
-	if hopeless || now >= until {
+	if hopeless || now >= min(inv.due-margin, inv.came+b.sloOf(inv.op)-b.recent[inv.op]) {
 		b.giveUp(inv)
 		return
 	}
-	if !inv.held {
-		inv.held = true
-		b.held = append(b.held, inv)
-		if len(b.held) == 1 {
-			b.h.Wake(20, wakeHeld)
-		}
+	b.held = append(b.held, inv)
+	if len(b.held) == 1 {
+		b.h.Wake(20, wakeHeld)
 	}
 }
 
@@ -414,14 +387,6 @@
 	}
 }
 
-// Lapsed says that the client of an invocation is gone.
-func (b *Balancer) Lapsed(id string) {
-	if inv := b.invs[id]; inv != nil && !inv.finished {
-		b.missed(true, true)
-		b.finish(inv)
-	}
-}
-
 // Ended says how a dispatch ended; done, that its invocation has its final answer.
 func (b *Balancer) Ended(id string, no int, _ uint32, how Ending, took float64, done bool,
 	report map[string]float64) {
@@ -436,7 +401,7 @@
 	}
 	b.learn(inv, d, how, took, now)
 	if done && !inv.finished {
-		b.missed(now-inv.came > b.ops[inv.op].num("slo-ms", 0) && now-b.looked <= 3*lookEvery, true)
+		b.missed(now-inv.came > b.sloOf(inv.op) && now-b.looked <= 3*lookEvery, true)
 	}
 	if done || inv.finished {
 		b.finish(inv)
@@ -449,23 +414,17 @@
 func (b *Balancer) learn(inv *invocation, d *dispatch, how Ending, took, now float64) {
 	n := d.to
 	if now-b.looked > 3*lookEvery || now == b.stalled {
-		n.answered = now
 		return
 	}
-	if how != TimedOut && how != NoConnect && how != Ignored && how != Canceled {
-		n.answered = now
-	}
-	if how != Failed && how != Ignored && !d.short {
-		late := b.late[n.Zone]
-		fade(&late, how != Succeeded || took > b.ops[inv.op].num("slo-ms", 0), 0.05)
-		b.late[n.Zone] = late
-	}
-	if how == NoConnect {
+	if how == Succeeded || how == Failed || how == Full || how == Reset {
+		fade(&b.noLink, false, 0.02)
+		n.answered, n.link = now, now
+	} else if how == NoConnect {
 		fade(&b.noLink, true, 0.1)
 		n.link = 0
-	} else if how == Succeeded || how == Failed || how == Full {
-		fade(&b.noLink, false, 0.02)
-		n.link = now
+	}
+	if how != Failed && how != Ignored && !d.short {
+		fade(b.lateAt(n.Zone), how != Succeeded || took > b.sloOf(inv.op), 0.05)
 	}
 	failed := how == Failed || how == TimedOut && !d.short || how == Reset
 	if failed || how == NoConnect || how == Canceled {
@@ -508,14 +467,17 @@
 			b.calm += (out/max(living, 1) - b.calm) * 0.1
 		}
 		b.turned = false
-		b.jam *= 0.97                    // forgotten bit by bit, by those too that answer next to nothing
-		for zone, late := range b.late { // forgotten bit by bit, so that a zone is tried again
-			b.late[zone] = late * 0.98
+		b.jam *= 0.97                 // forgotten bit by bit, by those too that answer next to nothing
+		for _, late := range b.late { // so that a zone is tried again
+			*late *= 0.98
 		}
 		b.measure()
 		b.setShare()
 		b.judge()
-		b.tellPeers()
+		if b.set.is("limits.may-tell") && b.announced && b.phase == OnTrial && b.h.Now() >= b.tellNext {
+			b.tellNext = b.h.Now() + tellEvery
+			b.h.Tell(Everyone, b.counts(b.earlier()))
+		}
 	case wakeHeld:
 		b.sendHeld()
 	case wakeSilent:
@@ -533,8 +495,8 @@
 	}
 }
 
-// measure finds what a warm node does for this marshal, and keeps it while nodes are cold: a budget that followed
-// what they are sent would shrink until nothing is.
+// measure finds what a warm node does for this marshal, and keeps it while nodes are cold: a budget that
+// followed what they are sent would shrink until nothing is.
 func (b *Balancer) measure() {
 	now := b.h.Now()
 	const over = 4000
@@ -555,7 +517,7 @@
 	for range draws {
 		within := 1.0
 		for op, p := range b.posterior(b.ver)[:len(b.ops)] {
-			if p.n >= 2 && p.mean+b.rnd.NormFloat64()*math.Sqrt(p.variance()/p.n) > b.ops[op].num("slo-ms", 0) {
+			if p.n >= 2 && p.mean+b.rnd.NormFloat64()*math.Sqrt(p.variance()/p.n) > b.sloOf(op) {
 				within = 0
 			}
 		}
@@ -565,34 +527,29 @@
 	if feasible < 0.5 {
 		target *= feasible
 	}
-	// The cap comes before the stage's machines do: until they are listed, those that are there take no more
-	// than their part of it, or a good build would look slow for being sent too much.
+	// The cap comes before the stage's machines: those there take their part, or would look slow for the rest.
 	if plan := b.set.nums("rollout.stage-share"); b.stage < len(plan) && plan[b.stage] > 0 {
 		target = min(target, b.cap*ready/plan[b.stage])
 	}
-	// What exceeds the ready nodes' part would jam them unseen where a marshal has next to nothing out at a node.
+	// More than the ready nodes' part would jam them unseen where a marshal has next to nothing out at a node.
 	target = ready + (target-ready)*min(1, b.calm)
 	b.share = max(min(target, 2*b.share), ready)
 }
 
 // judge votes on the newest build.
 func (b *Balancer) judge() {
-	if !b.announced || b.phase == GoingBack || b.phase == Withdrawn {
+	now, before := b.h.Now(), b.earlier()
+	if !b.announced || b.phase == GoingBack || b.phase == Withdrawn || before < 0 {
 		return
 	}
-	now := b.h.Now()
 	if b.misses < b.missesUsual+strained {
 		b.strainSince = now
 	}
-	before := b.earlier()
-	if before < 0 {
-		return
-	}
 	b.settle(before)
 	own, then := b.posterior(b.ver), b.posterior(before)
 	fine, worse, n, bad := b.compare(own, then, leastJudge)
-	// Of a crowd the marshal with the worst luck would decide, or one failing node in all that is counted: there the
-	// fleet's outcomes have to be sure, and the marshal's own, however few, to agree.
+	// Of a crowd the marshal with the worst luck would decide, or one failing node in all that is counted: there
+	// the fleet's outcomes have to be sure, and the marshal's own, however few, to agree.
 	if fine2, worse2, n2, _ := b.compare(b.fleet[0], b.fleet[1], leastJudge); b.crowd() && n2 >= leastJudge {
 		fine, worse, _, _ = b.compare(own, then, 2)
 		fine, worse, n = min(fine2, 2*fine), min(worse2, 2*worse), n2
@@ -602,7 +559,7 @@
 	switch {
 	case n >= leastJudge && worse >= confidence:
 		b.cast(Back, now, fmt.Sprintf("trails in success, %v of %v failed", bad, n))
-	case b.phase == OnTrial && b.heavier(now) >= heavy: // after its release the list may name earlier nodes long gone
+	case b.phase == OnTrial && b.heavier(now) >= heavy: // later the list may name earlier nodes long gone
 		b.cast(Back, now, "needs more work")
 	case now-b.strainSince >= strainFor && b.strainSince > b.metAt && b.slowBy >= slowed &&
 		b.strainSince < b.stageSince+2*blindAfter: // a build's begins with a stage, not long after its release
@@ -627,8 +584,7 @@
 // compare gives the chances that the newest build keeps up with the earlier one and that it is worse, over
 // all operations the least of the one and the greatest of the other, and its outcomes and failures.
 func (b *Balancer) compare(now, then []posterior, least float64) (fine, worse, n, bad float64) {
-	fine = 1
-	n, bad = now[len(b.ops)].good+now[len(b.ops)].bad, now[len(b.ops)].bad
+	fine, n, bad = 1, now[len(b.ops)].good+now[len(b.ops)].bad, now[len(b.ops)].bad
 	if n < least {
 		return 0, 0, n, bad
 	}
@@ -668,12 +624,12 @@
 // seen says that the blind vote need not wait: before the last stage, the one that leaves no earlier node to
 // compare with, half of the trial nodes must be old enough to be judged.
 func (b *Balancer) seen(now float64) bool {
-	all := b.serving(func(n *node) bool { return n.Ver == b.ver })
-	young := b.serving(func(n *node) bool { return n.Ver == b.ver && b.young(n, now) })
+	all, young := b.serving(b.newest), b.serving(func(n *node) bool { return b.newest(n) && b.young(n, now) })
 	return b.stage != len(b.set.nums("rollout.stage-share"))-2 || young*2 <= all && all > 0
 }
 
-// missed counts an invocation as late or given up, or not. An error is neither: it may be the invocation's own.
+// missed counts an invocation as late or given up, or not. An error is neither: it may be the invocation's
+// own.
 func (b *Balancer) missed(yes, sent bool) {
 	if sent { // not what was turned away: that would go on for its own sake
 		fade(&b.jam, yes, 0.03)
@@ -684,10 +640,10 @@
 	}
 }
 
-// heavier is how much more work an invocation is for the build on trial by its nodes' reports: the lower median, so
-// that one slow machine decides nothing. It guards against builds that are slow but fail little.
+// heavier is how much more work an invocation is for the build on trial by its nodes' reports, the lower
+// median: one slow machine decides nothing. It guards against builds that are slow but fail little.
 func (b *Balancer) heavier(now float64) float64 {
-	ratios := b.workRatios(func(n *node) bool { return n.Health == Serving && n.work > 0 && (b.crowd() || !b.young(n, now)) })
+	ratios := b.workRatios(func(n *node) bool { return b.crowd() || !b.young(n, now) })
 	if len(ratios) < 2 {
 		return 0
 	}
@@ -708,14 +664,15 @@
 	if b.voteOut || now < b.voteNext || same && now < b.voteUntil {
 		return
 	}
-	pace := 2000 * b.set.num("marshals", 1) / max(b.set.num("rollout.api-rate", 1), 0.1)
-	b.vote, b.voteVer, b.voteStage, b.voteOut, b.voteNext = v, b.ver, b.stage, true, now+max(pace, interval)
+	b.vote, b.voteVer, b.voteStage, b.voteOut = v, b.ver, b.stage, true
+	b.voteNext = now + max(interval, 2000*b.set.num("marshals", 1)/max(b.set.num("rollout.api-rate", 1), 0.1))
 	b.h.Log(fmt.Sprintf("vote %d on build %d at stage %d: %s", v, b.ver, b.stage, why))
 	b.h.Vote(b.ver, b.stage, v)
 }
 
-// settle takes the last tallies as the fleet's evidence, both builds over the same periods and the earlier one at
-// a few times the newest: else a slow spell while one of them had the traffic would speak for or against it.
+// settle takes the last tallies as the fleet's evidence, both builds over the same periods and the earlier
+// one at a few times the newest: else a slow spell while one of them had the traffic would speak for or
+// against it.
 func (b *Balancer) settle(before int) {
 	if b.set.is("limits.may-tell") {
 		b.fleet = b.heard(before)
@@ -725,13 +682,11 @@
 	for op := range b.ops {
 		p, q := b.period[exposure{b.ver, op}], b.period[exposure{before, op}]
 		n, m := p.good+p.bad, q.good+q.bad
-		if n == 0 || m == 0 {
-			continue
-		}
-		part := min(1, 3*n/m)
 		for _, o := range []int{op, len(b.ops)} {
-			b.fleet[0][o].add(p, 1)
-			b.fleet[1][o].add(q, part)
+			if n > 0 && m > 0 {
+				b.fleet[0][o].add(p, 1)
+				b.fleet[1][o].add(q, min(1, 3*n/m))
+			}
 		}
 	}
 	clear(b.period)
@@ -754,15 +709,6 @@
 	}
 }
 
-// tellPeers tells the counts of the build on trial, and of the earlier one meanwhile.
-func (b *Balancer) tellPeers() {
-	now := b.h.Now()
-	if b.set.is("limits.may-tell") && now >= b.tellNext && b.announced && b.phase == OnTrial {
-		b.tellNext = now + tellEvery
-		b.h.Tell(Everyone, b.counts(b.earlier()))
-	}
-}
-
 // failing is a node's share of failures, lately.
 func (n *node) failing() float64 { return (n.bad + 0.1) / (n.good + n.bad + 1) }
 
@@ -776,9 +722,7 @@
 		work = service / (1 + service*rate/1000)
 	}
 	work *= part // of its capacity that it has at least: a cold one looks no heavier than it is
-	if work > 0 && n.work > 0 {
-		n.work += (work - n.work) * 0.2
-	} else if work > 0 {
-		n.work = work
+	if work > 0 {
+		n.work += (work - n.work) * map[bool]float64{true: 1, false: 0.2}[n.work == 0]
 	}
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -55,14 +55,14 @@
 	calm                float64 // what was out at a node while nothing was turned away, fading
 	slo, usualCost      float64 // the mean SLO time and cost of what arrives
 	arrived             float64
-	misses, missesUsual float64         // share of invocations not answered in time, lately and usually
-	jam                 float64         // share of invocations late or given up, lately
-	late                map[int]float64 // share of dispatches to a zone not answered soon, lately
-	noLink              float64         // share of dispatches that got no connection, lately
-	strainSince         float64         // since when it is far over the usual
-	metAt               float64         // when the newest build first answered
-	median              float64         // of the nodes' shares of failures
-	turned              bool            // something was turned away in this interval
+	misses, missesUsual float64          // share of invocations not answered in time, lately and usually
+	jam                 float64          // share of invocations late or given up, lately
+	late                map[int]*float64 // share of dispatches to a zone not answered soon, lately
+	noLink              float64          // share of dispatches that got no connection, lately
+	strainSince         float64          // since when it is far over the usual
+	metAt               float64          // when the newest build first answered
+	median              float64          // of the nodes' shares of failures
+	turned              bool             // something was turned away in this interval
 
 	vote      Verdict // the vote that stands or is on its way
 	voteVer   int
@@ -97,7 +97,6 @@
 	cost     float64
 	sent     []dispatch
 	finished bool
-	held     bool
 }
 
 // node lives as long as the instance knows its id; it starts over when its process does.
@@ -224,7 +223,7 @@
 	ops := settings.parts("operations")
 	return &Balancer{h: h, set: settings, ops: ops, rnd: rand.New(pcg.New(seed)), begun: h.Now(), looked: h.Now(),
 		nodes: map[uint32]*node{}, invs: map[string]*invocation{}, taken: map[int]*sliding{},
-		exposed: map[exposure]*sliding{}, late: map[int]float64{}, bound: map[string]int{},
+		exposed: map[exposure]*sliding{}, late: map[int]*float64{}, bound: map[string]int{},
 		period: map[exposure]posterior{}, peers: map[int]peer{}, posteriors: map[int][]posterior{},
 		usualTime: make([]float64, len(ops)), recent: make([]float64, len(ops)), seenOf: make([]float64, len(ops))}
 }
@@ -241,6 +240,8 @@
 
 func every(*node) bool { return true }
 
+func (b *Balancer) newest(n *node) bool { return n.Ver == b.ver }
+
 // those picks the nodes for which something holds.
 func those(pool []*node, holds func(*node) bool) []*node {
 	var some []*node
@@ -309,9 +310,10 @@
 	return float64(h.Sum32()) / (1 << 32)
 }
 
-// workRatios are, sorted, what an invocation is for each of the newest build's nodes that tell, against the mean of
+// workRatios are, sorted, what an invocation is for each of the newest build's nodes that tell and may, against the mean of
 // the earlier builds' nodes of its model.
-func (b *Balancer) workRatios(tells func(*node) bool) (ratios []float64) {
+func (b *Balancer) workRatios(may func(*node) bool) (ratios []float64) {
+	tells := func(n *node) bool { return n.Health == Serving && n.work > 0 && may(n) }
 	sum, count := map[int]float64{}, map[int]float64{}
 	for _, n := range b.order {
 		if n.Ver < b.ver && tells(n) {
@@ -339,7 +341,6 @@
 	waiting := b.held
 	b.held = nil
 	for _, inv := range waiting {
-		inv.held = false
 		if !inv.finished {
 			b.send(inv)
 		}
@@ -363,6 +364,48 @@
 	return least
 }
 
+func (b *Balancer) sloOf(op int) float64 { return b.ops[op].num("slo-ms", 0) }
+
+// renew starts over what is known of the newest build.
+func (b *Balancer) renew(ver int, now float64) {
+	b.share, b.metAt, b.strainSince = 0, math.Inf(1), now
+	b.atStart = slices.Clone(b.posterior(b.earlierThan(ver)))
+	b.fleet = [2][]posterior{make([]posterior, len(b.ops)+1), make([]posterior, len(b.ops)+1)}
+}
+
+// take counts an invocation that has arrived.
+func (b *Balancer) take(inv *invocation) {
+	b.invs[inv.id] = inv
+	b.count(b.takenBy(-1), inv.came)
+	b.count(b.takenBy(inv.op), inv.came)
+	b.arrived++
+	b.slo += (b.sloOf(inv.op) - b.slo) / min(100, b.arrived)
+	b.usualCost += (b.weigh(inv.cost) - b.usualCost) / min(100, b.arrived)
+}
+
+func (b *Balancer) lateAt(zone int) *float64 {
+	if b.late[zone] == nil {
+		b.late[zone] = new(float64)
+	}
+	return b.late[zone]
+}
+
+// scope is what exposure is counted by: the operation, or all together.
+func (b *Balancer) scope(op int) int {
+	if b.set.text("rollout.cap-scope", "each_class") == "each_class" {
+		return op
+	}
+	return -1
+}
+
+// Lapsed says that the client of an invocation is gone.
+func (b *Balancer) Lapsed(id string) {
+	if inv := b.invs[id]; inv != nil && !inv.finished {
+		b.missed(true, true)
+		b.finish(inv)
+	}
+}
+
 // untried leaves out the nodes that an invocation has been sent to.
 func untried(pool []*node, inv *invocation) []*node {
 	if len(inv.sent) == 0 {
@@ -373,11 +416,6 @@
 	})
 }
 
-// out says that a dispatch of the invocation has not ended.
-func (inv *invocation) out() bool {
-	return slices.ContainsFunc(inv.sent, func(d dispatch) bool { return d.open })
-}
-
 // mayHaveRun says that a dispatch of it may have had its effect.
 func (inv *invocation) mayHaveRun() bool {
 	return slices.ContainsFunc(inv.sent, func(d dispatch) bool { return d.ran })
