--- a/balance/balance.go
+++ b/balance/balance.go
@@ -222,7 +222,7 @@
 		return false
 	}
 	over := b.set.num("rules.fall-ms", 2000)
-	room := 0.7 * b.set.num("rules.fall-multiple", 1) * part * over * b.served
+	room := 0.85 * b.set.num("rules.fall-multiple", 1) * part * over * b.served
 	return n.pushed.since(now-over)+n.lot*b.usualCost > room // not by its own cost: the light would fill it up
 }
 
