--- a/balance/balance.go
+++ b/balance/balance.go
@@ -555,7 +555,7 @@
 		fine, worse, n = min(fine2, 2*fine), min(worse2, 2*worse), n2
 	}
 	standing := b.vote == Back && b.voteVer == b.ver && now < b.voteUntil
-	due := now-b.stageSince >= blindAfter && !standing && b.seen(now) && b.strainSince == now
+	due := now-b.stageSince >= blindAfter && !standing && b.seen(now) && b.strainSince == now && b.slowBy < slowed
 	switch {
 	case n >= leastJudge && worse >= confidence:
 		b.cast(Back, now, fmt.Sprintf("trails in success, %v of %v failed", bad, n))
