Errors are no evidence while most invocations that err err again elsewhere

Cause: worthless invocations that get quick errors everywhere spoke against a released build, which has no earlier nodes to compare with. Covers errors of the invocation's own of any kind; may hide a build that breaks one operation whole once no earlier node is left.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -16,38 +16,38 @@
 )
 
 const (
-	interval    = 500.0        // ms between two settings of the trial share
-	draws       = 100          // draws of the posteriors each interval
-	judgeDraws  = 400          // draws for a verdict
-	confidence  = 0.95         // what a chance has to reach for a verdict
-	leastJudge  = 10.0         // outcomes of the trial build before it is judged
-	priorWeight = 10.0         // outcomes that the earlier build's success is worth as the prior of the next
-	slower      = 1.15         // the latency at which a build still counts as keeping up
-	pointsOn    = 0.01         // success a build may trail by and still go on
-	pointsBack  = 0.02         // success it must trail by to go back
-	blindAfter  = 4000.0       // ms of a stage without verdict until it is voted on
-	readyAge    = 5000.0       // ms since its start until a node's outcomes are evidence
-	margin      = 10.0         // ms kept before a client's own time is up
-	leastOut    = 3.0          // dispatches out that are never too many
-	calmTimes   = 1.5          // what may be out, against the mean of calm times
-	sickBy      = 0.3          // share of failures over the median that makes a node sick
-	fullFor     = 100.0        // ms a node is left alone that turned something away unseen
-	spillAt     = 2.0          // load of a trial node against an earlier one's at which the earlier takes over
-	reportLag   = 3000.0       // ms that a node's report may tell of
-	heavy       = 1.7          // times the work of the earlier build at which a build goes back
-	strained    = 0.25         // share of invocations missing their SLO time over the usual that is trouble
-	strainFor   = 12000.0      // ms of it under a build until that goes back
-	silence     = 7.0          // mean latencies after which one dispatch unanswered makes its node silent
-	firstGuess  = 4.0          // of the SLO time one part is taken for the latency before any is known
-	jamTimes    = 1.2          // invocations taken for one answered in time, beyond which some are turned away
-	crossing    = 2.0          // part that crosses, for each part more that is answered soon there
-	slowed      = 2.0          // what the fleet's dispatches take against the usual, from which on it has trouble
-	tellEvery   = 4 * interval // between two messages to the peers
-	lookEvery   = 100.0        // ms between two looks for silent nodes, and the measure of a stall of this marshal
-	linkTrouble = 0.15         // share of dispatches without connection from which on known connections are kept to
-	fewMarshals = 10.0         // marshals for each whose vote is needed, up to which each is sure by itself
-	spared      = 0.45         // of the bound that is kept for the operations worth most
-	queueFor    = 0.5          // of the SLO time that may be spent in work and waiting at a node
+	interval    = 500.0   // ms between two settings of the trial share
+	draws       = 100     // draws of the posteriors each interval
+	judgeDraws  = 400     // draws for a verdict
+	confidence  = 0.95    // what a chance has to reach for a verdict
+	leastJudge  = 10.0    // outcomes of the trial build before it is judged
+	priorWeight = 10.0    // outcomes that the earlier build's success is worth as the prior of the next
+	slower      = 1.15    // the latency at which a build still counts as keeping up
+	pointsOn    = 0.01    // success a build may trail by and still go on
+	pointsBack  = 0.02    // success it must trail by to go back
+	blindAfter  = 4000.0  // ms of a stage without verdict until it is voted on
+	readyAge    = 5000.0  // ms since its start until a node's outcomes are evidence
+	margin      = 10.0    // ms kept before a client's own time is up
+	leastOut    = 3.0     // dispatches out that are never too many
+	calmTimes   = 1.5     // what may be out, against the mean of calm times
+	sickBy      = 0.3     // share of failures over the median that makes a node sick
+	fullFor     = 100.0   // ms a node is left alone that turned something away unseen
+	spillAt     = 2.0     // load of a trial node against an earlier one's at which the earlier takes over
+	reportLag   = 3000.0  // ms that a node's report may tell of
+	heavy       = 1.7     // times the work of the earlier build at which a build goes back
+	strained    = 0.25    // share of invocations missing their SLO time over the usual that is trouble
+	strainFor   = 12000.0 // ms of it under a build until that goes back
+	silence     = 7.0     // mean latencies after which one dispatch unanswered makes its node silent
+	firstGuess  = 4.0     // of the SLO time one part is taken for the latency before any is known
+	jamTimes    = 1.2     // invocations taken for one answered in time, beyond which some are turned away
+	crossing    = 2.0     // part that crosses, for each part more that is answered soon there
+	slowed      = 2.0     // what the fleet's dispatches take against the usual, from which on it has trouble
+	tellEvery   = 2000.0  // ms between two messages to the peers
+	lookEvery   = 100.0   // ms between two looks for silent nodes, and the measure of a stall of this marshal
+	linkTrouble = 0.15    // share of dispatches without connection from which on known connections are kept to
+	fewMarshals = 10.0    // marshals for each whose vote is needed, up to which each is sure by itself
+	spared      = 0.45    // of the bound that is kept for the operations worth most
+	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
 )
 
 // New starts an instance.
@@ -164,8 +164,7 @@
 	b.h.Dispatch(inv.id, n.ID, left)
 }
 
-// draw places an invocation between 0 and 1 for the choice of its build: by its key where keys only go
-// forward, so that always the same keys make up the share.
+// draw places an invocation between 0 and 1; by its key where keys only go forward: always the same ones.
 func (b *Balancer) draw(inv *invocation) float64 {
 	if inv.key == "" || !b.set.is("rollout.forward-only") {
 		return b.rnd.Float64()
@@ -264,7 +263,6 @@
 	return well
 }
 
-// sick nodes get one dispatch at a time, after each failure later.
 func (b *Balancer) sick(n *node) bool { return n.failing() > b.median+sickBy }
 
 // silent says that a node that lives would have answered something by now: the chance that it has not falls
@@ -416,6 +414,9 @@
 	if now-b.looked > 3*lookEvery || now == b.stalled {
 		return
 	}
+	if last := len(inv.sent) - 2; last >= 0 && inv.sent[last].erred && (how == Failed || how == Succeeded) {
+		fade(&b.again, how == Failed, 0.3)
+	}
 	if how == Succeeded || how == Failed || how == Full || how == Reset {
 		fade(&b.noLink, false, 0.02)
 		n.answered, n.link = now, now
@@ -447,8 +448,10 @@
 	if how != Succeeded && how != Failed && (d.young || far || !failed) {
 		return
 	}
-	// A node that fails far more than others of its build is at fault itself, not its build.
-	if failed && n.failing() > sickBy+b.medianFailing(func(o *node) bool { return o.Ver == d.ver }) {
+	// A node that fails far more than others of its build is at fault itself, not its build; so are invocations
+	// of which most that err err again elsewhere. It may hide a build that breaks one operation, once alone.
+	if how == Failed && b.again > 0.5 ||
+		failed && n.failing() > sickBy+b.medianFailing(func(o *node) bool { return o.Ver == d.ver }) {
 		return
 	}
 	all := b.posterior(d.ver)
@@ -495,8 +498,7 @@
 	}
 }
 
-// measure finds what a warm node does for this marshal, and keeps it while nodes are cold: a budget that
-// followed what they are sent would shrink until nothing is.
+// measure finds what a warm node does for this marshal, but not while nodes are cold and go by their budget.
 func (b *Balancer) measure() {
 	now := b.h.Now()
 	const over = 4000
@@ -555,7 +557,7 @@
 		fine, worse, n = min(fine2, 2*fine), min(worse2, 2*worse), n2
 	}
 	standing := b.vote == Back && b.voteVer == b.ver && now < b.voteUntil
-	due := now-b.stageSince >= blindAfter && !standing && b.seen(now) && b.strainSince == now && b.slowBy < slowed
+	calm := b.strainSince == now && b.slowBy < slowed
 	switch {
 	case n >= leastJudge && worse >= confidence:
 		b.cast(Back, now, fmt.Sprintf("trails in success, %v of %v failed", bad, n))
@@ -571,7 +573,7 @@
 	case b.phase != OnTrial:
 	case n >= leastJudge && fine >= confidence:
 		b.cast(On, now, "keeps up")
-	case due:
+	case now-b.stageSince >= blindAfter && !standing && calm && b.seen(now):
 		b.cast(On, now, "no verdict")
 	}
 }
@@ -581,8 +583,7 @@
 	return b.set.num("rollout.noes-needed", 1)*fewMarshals < b.set.num("marshals", 1)
 }
 
-// compare gives the chances that the newest build keeps up with the earlier one and that it is worse, over
-// all operations the least of the one and the greatest of the other, and its outcomes and failures.
+// compare gives the chances that the newest build keeps up and that it is worse, its outcomes and failures.
 func (b *Balancer) compare(now, then []posterior, least float64) (fine, worse, n, bad float64) {
 	fine, n, bad = 1, now[len(b.ops)].good+now[len(b.ops)].bad, now[len(b.ops)].bad
 	if n < least {
@@ -591,7 +592,7 @@
 	alone := b.crowd() && b.serving(func(n *node) bool { return n.Ver < b.ver }) == 0
 	for op := range now { // each operation, and all of them together
 		p, q := now[op], then[op]
-		// Errors are also judged alone: overload adds time-outs to both builds, which would drown them.
+		// Errors are also judged alone: time-outs of an overload would drown them.
 		for i, failed := range [][2]float64{{p.errors, q.errors}, {p.bad, q.bad}} {
 			if i == 1 && alone { // nothing to tell a slow spell by
 				continue
@@ -621,8 +622,7 @@
 	return fine, worse, n, bad
 }
 
-// seen says that the blind vote need not wait: before the last stage, the one that leaves no earlier node to
-// compare with, half of the trial nodes must be old enough to be judged.
+// seen says that the blind vote need not wait for nodes to judge: before the last stage it does.
 func (b *Balancer) seen(now float64) bool {
 	all, young := b.serving(b.newest), b.serving(func(n *node) bool { return b.newest(n) && b.young(n, now) })
 	return b.stage != len(b.set.nums("rollout.stage-share"))-2 || young*2 <= all && all > 0
--- a/balance/state.go
+++ b/balance/state.go
@@ -59,6 +59,7 @@
 	jam                 float64          // share of invocations late or given up, lately
 	late                map[int]*float64 // share of dispatches to a zone not answered soon, lately
 	noLink              float64          // share of dispatches that got no connection, lately
+	again               float64          // share of invocations that, having erred, err again, lately
 	strainSince         float64          // since when it is far over the usual
 	metAt               float64          // when the newest build first answered
 	median              float64          // of the nodes' shares of failures
