Known connections are kept to only while under two are out there

Cause: with connections squeezed marshals crowded the few nodes they held (busiest 9 times the mean).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -238,11 +238,12 @@
 	return pool[i]
 }
 
-// linked keeps to nodes whose connection is known to last, once new ones fail often: it guards against nodes
-// that accept few and against slow handshakes. It may hurt where many nodes are lost while others join.
+// linked keeps to nodes whose connection lasts and with under two out, once new ones fail often: it guards
+// against nodes that accept few and slow handshakes. It may hurt where nodes are lost while others join.
 func (b *Balancer) linked(pool []*node, now float64) []*node {
-	if idle := b.set.num("limits.conn-idle-ms", 10000); b.noLink >= linkTrouble {
-		if there := those(pool, func(n *node) bool { return n.link > 0 && now-n.link <= idle }); len(there) > 0 {
+	since := max(0, now-b.set.num("limits.conn-idle-ms", 10000))
+	if b.noLink >= linkTrouble {
+		if there := those(pool, func(n *node) bool { return n.link > since && n.inflight < 2 }); len(there) > 0 {
 			return there
 		}
 	}
@@ -275,7 +276,6 @@
 	return waits >= 1
 }
 
-// patience is how long one dispatch alone may stay unanswered until its node counts as silent.
 func (b *Balancer) patience(op int) float64 { return max(b.sloOf(op)/2, silence*b.recent[op]) }
 
 // nearby keeps to the own zone where crossing has a price, unless nothing there is free or another zone
