The marshal speaks the platform's protocol: arrowcleat platform

Change: `internal/platform` reads the configuration, reads what heads ask for and connects discovery, release API and peers; `internal/rest` makes calls and follows streams of JSON on h1; `internal/seats` divides descriptors and decides which client's connection gives way; `internal/brief` is the decoder of the settings object, moved out of simwire so that simulator and platform use one. `front` takes Terms and `serve` takes Ways, so that the marshal is the one that stands; without them nothing differs.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -26,7 +26,12 @@
 	Dial   time.Duration // the longest a connection may take to open
 	Idle   time.Duration // how long one is kept unused
 	Most   int           // unused ones kept for a node
+	All    int           // connections to all nodes together, beyond which an unused one gives way; 0: no bound
 
+	Strict bool              // an answer is 200, all else is a failure
+	Names  map[string]string // of what nodes report, as the module knows them; nil: ORCA's own
+
+	total atomic.Int64
 	nodes sync.Map // address -> *idle
 	shut  sync.Map // address -> time.Time from which on nothing new goes there
 	done  atomic.Bool
@@ -57,6 +62,8 @@
 	R       *h1.Reader
 	Kept    bool // it has carried a request before
 	address string
+	pool    *Pool
+	closed  atomic.Bool
 	since   time.Time
 	raw     syscall.RawConn
 	alive   bool
@@ -98,12 +105,16 @@
 			return c, nil
 		}
 	}
+	if p.All > 0 && p.total.Load() >= int64(p.All) {
+		p.dropOldest()
+	}
 	d := net.Dialer{Timeout: p.Dial, KeepAlive: -1}
 	nc, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	c := &Conn{Conn: nc, address: address, R: h1.NewReader(nc, readBuffer)}
+	p.total.Add(1)
+	c := &Conn{Conn: nc, address: address, pool: p, R: h1.NewReader(nc, readBuffer)}
 	if t, ok := nc.(*net.TCPConn); ok {
 		c.raw, _ = t.SyscallConn()
 	}
@@ -116,6 +127,38 @@
 	return c, nil
 }
 
+// Close closes the connection.
+func (c *Conn) Close() error {
+	if !c.closed.Swap(true) {
+		c.pool.total.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
+// dropOldest closes the connection that has been unused for longest.
+func (p *Pool) dropOldest() {
+	var oldest *idle
+	var since time.Time
+	p.nodes.Range(func(_, v any) bool {
+		n := v.(*idle)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if len(n.conns) > 0 && (oldest == nil || n.conns[0].since.Before(since)) {
+			oldest, since = n, n.conns[0].since
+		}
+		return true
+	})
+	if oldest == nil {
+		return
+	}
+	oldest.mu.Lock()
+	defer oldest.mu.Unlock()
+	if len(oldest.conns) > 0 {
+		oldest.conns[0].Close()
+		oldest.conns = append(oldest.conns[:0], oldest.conns[1:]...)
+	}
+}
+
 // open says that the node has neither closed the connection nor sent something unasked on it.
 func (c *Conn) open() bool {
 	if c.R.Buffered() > 0 {
@@ -201,6 +244,7 @@
 	Err      error // what ended it, nil for a whole answer
 	Status   int   // of the answer, 0 for none
 	Away     bool  // the node says that it turned the work away before it began
+	Strict   bool  // only 200 is an answer
 	Canceled bool  // the module gave it up
 	Expired  bool  // its time limit had passed
 }
@@ -209,9 +253,9 @@
 // connection, no byte written, or the node's own word. All else may have run.
 func (f Fate) Ending() balance.Ending {
 	switch {
-	case f.Status != 0 && f.Err == nil && f.Away && (f.Status == 429 || f.Status == 503):
+	case f.Status != 0 && f.Err == nil && f.Away && (f.Status == 429 || f.Status == 503 || f.Status == 504):
 		return balance.Full
-	case f.Status != 0 && f.Err == nil && f.Status < 500:
+	case f.Status != 0 && f.Err == nil && (f.Status == 200 || f.Status < 500 && !f.Strict):
 		return balance.Succeeded
 	case f.Status != 0 && f.Err == nil:
 		return balance.Failed
@@ -249,7 +293,11 @@
 	"named_metrics.service_ms": "service-ms", "named_metrics.held": "held", "named_metrics.waiting": "waiting"}
 
 // Report reads a node's load report from an answer's header.
-func Report(header textproto.MIMEHeader) map[string]float64 {
+func (p *Pool) Report(header textproto.MIMEHeader) map[string]float64 {
+	names := p.Names
+	if names == nil {
+		names = orca
+	}
 	values := header["Endpoint-Load-Metrics"]
 	if len(values) == 0 {
 		return nil
@@ -261,7 +309,7 @@
 	report := map[string]float64{}
 	for part := range strings.SplitSeq(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if ours, known := orca[name]; known {
+		if ours, known := names[name]; known {
 			if v, err := strconv.ParseFloat(value, 64); err == nil && v >= 0 && v < 1e12 {
 				report[ours] = v
 			}
@@ -272,7 +320,7 @@
 
 // Probe asks a node over its own connection whether it answers, and how loaded it is.
 func (p *Pool) Probe(ctx context.Context, address, path string) (balance.Ending, map[string]float64) {
-	var f Fate
+	f := Fate{Strict: p.Strict}
 	c, err := p.Get(ctx, address, true)
 	if err != nil {
 		f.Err = err
@@ -291,5 +339,5 @@
 		return f.Ending(), nil
 	}
 	f.Status = h.Status
-	return f.Ending(), Report(h.Header)
+	return f.Ending(), p.Report(h.Header)
 }
--- a/internal/back/back_test.go
+++ b/internal/back/back_test.go
@@ -67,11 +67,11 @@
 		"TEXT cpu_utilization=-1, rps_fractional=NaN, eps=1e99, other=3":           "map[]",
 		"JSON {}": "map[]", "": "map[]",
 	} {
-		if got := fmt.Sprint(Report(textproto.MIMEHeader{"Endpoint-Load-Metrics": {text}})); got != want {
+		if got := fmt.Sprint((&Pool{}).Report(textproto.MIMEHeader{"Endpoint-Load-Metrics": {text}})); got != want {
 			t.Errorf("%q: %s", text, got)
 		}
 	}
-	if got := Report(textproto.MIMEHeader{}); got != nil {
+	if got := (&Pool{}).Report(textproto.MIMEHeader{}); got != nil {
 		t.Error(got)
 	}
 }
--- a/internal/control/conveyor.go
+++ b/internal/control/conveyor.go
@@ -59,7 +59,7 @@
 
 // Run keeps the connection until the context ends.
 func (c *Conveyor) Run(ctx context.Context) {
-	keep(ctx, "conveyor", c.Address, c.Wait, c.WaitMost, c.Log, c.session)
+	Keep(ctx, "conveyor", c.Address, c.Wait, c.WaitMost, c.Log, c.session)
 }
 
 func (c *Conveyor) session(_ context.Context, nc net.Conn) error {
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -78,3 +78,6 @@
 		}
 	}
 }
+
+// Close closes the socket.
+func (p *Peers) Close() error { return p.Conn.Close() }
--- a/internal/control/roster.go
+++ b/internal/control/roster.go
@@ -93,11 +93,11 @@
 
 // Run keeps the connection until the context ends.
 func (r *Roster) Run(ctx context.Context) {
-	keep(ctx, "roster", r.Address, r.Wait, r.WaitMost, r.Log, r.session)
+	Keep(ctx, "roster", r.Address, r.Wait, r.WaitMost, r.Log, r.session)
 }
 
-// keep holds a session with an address, again and again.
-func keep(ctx context.Context, name, address string, first, most time.Duration, log *slog.Logger,
+// Keep holds a session with an address, again and again.
+func Keep(ctx context.Context, name, address string, first, most time.Duration, log *slog.Logger,
 	session func(context.Context, net.Conn) error) {
 	waits := Waits(first, most)
 	for ctx.Err() == nil {
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -212,7 +212,7 @@
 	}
 	x.body = c.r.Body(h, c.s.limits)
 	most := int(c.s.Current().Limits.RepeatBodyBytes)
-	kept, err := x.fill(c.body[:0], x.body, most, func(t time.Time) { c.nc.SetReadDeadline(t) })
+	kept, err := x.fill(c.body[:0], x.body, most, func() { c.readBy(c.s.Current().Times.BodyMs) })
 	x.kept = kept
 	if cap(kept) <= 1<<16 {
 		c.body = kept
@@ -231,14 +231,14 @@
 }
 
 // fill reads until the end or until most bytes are held, giving each read its time.
-func (x *exchange) fill(to []byte, from io.Reader, most int, deadline func(time.Time)) ([]byte, error) {
+func (x *exchange) fill(to []byte, from io.Reader, most int, deadline func()) ([]byte, error) {
 	for len(to) < most {
 		if len(to) == cap(to) {
 			to = append(to, 0)[:len(to)]
 		}
 		room := to[len(to):min(cap(to), most)]
 		if deadline != nil {
-			deadline(time.Now().Add(ms(x.c.s.Current().Times.BodyMs)))
+			deadline()
 		}
 		n, err := from.Read(room)
 		to = to[:len(to)+n]
@@ -296,9 +296,7 @@
 				return keep
 			}
 		case doThrottle:
-			wait := strconv.FormatFloat(cmd.comeBack, 'f', 0, 64)
-			err := x.c.plain(503, Throttled, "throttled: trying again is harmless", x.ends(), "Retry-After",
-				strconv.Itoa(max(1, int(cmd.comeBack/1000+0.999))), "Retry-After-Ms", wait)
+			err := x.c.plain(503, Throttled, "throttled: trying again is harmless", x.ends(), s.comeBack(cmd.comeBack)...)
 			return err == nil && !x.ends()
 		case doTerminate:
 			err := x.c.plain(x.terminated(), Terminated, "terminated: what it did is not known", x.ends())
@@ -324,7 +322,7 @@
 
 // ends says that the connection can't go on after this answer: the client asked so, or part of the body is unread.
 func (x *exchange) ends() bool {
-	return x.last || x.body != nil && !x.body.Done() || x.c.s.stopping.Load()
+	return x.last || x.body != nil && !x.body.Done() || x.c.s.stopping.Load() || x.c.s.leaving.Load()
 }
 
 // dispatch sends the invocation to a node and waits for what becomes of it.
@@ -332,7 +330,7 @@
 	s := x.c.s
 	start := s.Clock.Now()
 	until := time.Now().Add(ms(cmd.within))
-	var f back.Fate
+	f := back.Fate{Strict: s.Pool.Strict}
 	var node *back.Conn
 	var report map[string]float64
 	if x.broken {
@@ -551,8 +549,13 @@
 		node.Close()
 		return false, false, nil
 	}
-	report = back.Report(h.Header)
+	report = s.Pool.Report(h.Header)
 	f.Away = s.names.away != "" && h.Header.Get(s.names.away) != ""
+	if s.tooLong(h.Length) {
+		f.Err = h1.ErrTooLarge
+		node.Close()
+		return false, false, report
+	}
 	body := node.R.Body(h, s.limits)
 	held, err := x.fill(c.held[:0], body, int(s.Current().Limits.HeldAnswerBytes), nil)
 	if cap(held) <= 1<<16 {
@@ -566,6 +569,11 @@
 	}
 	f.Status = h.Status
 	var how balance.Ending
+	if !whole && s.Terms.MostBody > 0 {
+		f.Err = h1.ErrTooLarge
+		node.Close()
+		return false, false, report
+	}
 	if !whole { // too long to be held: it goes to the client as it comes
 		if f.Ending() != balance.Succeeded || x.claimed.Swap(true) {
 			node.Close()
@@ -620,7 +628,7 @@
 		if h.Status == 101 {
 			return nil, errors.Join(h1.ErrMalformed, errors.New("101 without Upgrade"))
 		}
-		if h.Status != 100 && x.head.Minor > 0 && !x.claimed.Load() {
+		if h.Status != 100 && !x.c.s.Terms.Quiet && x.head.Minor > 0 && !x.claimed.Load() {
 			h.DropHops()
 			x.c.out = append(h1.AppendHeader(x.statusLine(x.c.out[:0], h), h.Header), "\r\n"...)
 			if err := x.c.write(); err != nil {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/textproto"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +20,7 @@
 	"arrowcleat/internal/h1"
 	"arrowcleat/internal/loop"
 	"arrowcleat/internal/marshal"
+	"arrowcleat/internal/seats"
 	"arrowcleat/internal/settings"
 )
 
@@ -42,11 +42,15 @@
 	Cores [][]*marshal.Core // by core, of the pools
 	Pool  *back.Pool
 	Log   *slog.Logger
+	Terms Terms
 
+	ids      sync.Map    // of the requests that are open
+	leaving  atomic.Bool // every connection ends with its next answer
 	now      atomic.Pointer[settings.Settings]
 	lns      []Listener
 	mu       sync.Mutex
 	conns    map[*conn]bool
+	yielding int            // of them, those that give way and are not yet closed
 	homes    []atomic.Int64 // connections of each core
 	moved    atomic.Int64   // invocations that another core took
 	wg       sync.WaitGroup
@@ -133,8 +137,15 @@
 	c := &conn{s: s, nc: nc, listener: listener, r: h1.NewReader(nc, readBuffer), requests: make(chan *request, 1),
 		resume: make(chan struct{}, 1), commands: make(chan command, 16)}
 	c.host, _, _ = splitHost(nc.RemoteAddr().String())
+	c.quietSince.Store(int64(s.Clock.Now()))
+	if s.Terms.FirstMs > 0 {
+		c.by = time.Now().Add(ms(s.Terms.FirstMs))
+	}
 	s.mu.Lock()
-	full := len(s.conns) >= int(s.Current().Limits.Connections)
+	full := len(s.conns)-s.yielding >= int(s.Current().Limits.Connections)
+	if full && s.Terms.FirstMs > 0 {
+		full = !s.yield()
+	}
 	if !full {
 		s.conns[c] = true
 		c.home = divide.Seat(func(i int) int { return int(s.homes[i].Load()) }, len(s.Loops))
@@ -165,6 +176,32 @@
 
 func (s *Server) Change(set *settings.Settings) { s.now.Store(set) }
 
+// yield has a connection give way to a new one; s.mu is held. It says whether one does.
+func (s *Server) yield() bool {
+	now := int64(s.Clock.Now())
+	var conns []*conn
+	var all []seats.Seat
+	for c := range s.conns {
+		if !c.yielded {
+			conns = append(conns, c)
+			all = append(all, seats.Seat{Since: float64(now - c.quietSince.Load()), Served: c.served.Load(), Busy: c.open.Load() > 0})
+		}
+	}
+	i := seats.Yield(all)
+	if i < 0 {
+		return false
+	}
+	c := conns[i]
+	c.yielded = true
+	s.yielding++
+	c.ended.Store(true)
+	c.nc.SetReadDeadline(time.Unix(1, 0)) // wakes the reader, which then closes
+	return true
+}
+
+// Leave lets every connection end with its next answer; all that comes is still served, until Stop.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
 // Stop takes nothing new: no connection, and no invocation on those there are.
 func (s *Server) Stop() {
 	if s.stopping.Swap(true) {
@@ -252,10 +289,15 @@
 	gone     atomic.Bool
 	ended    atomic.Bool // the worker takes no further request
 	noBody   bool        // the request being worked on is a HEAD
-	current  atomic.Pointer[exchange]
-	out      []byte // room for what is written to the client
-	held     []byte // and for an answer that is held
-	body     []byte // and for a request's body
+	by       time.Time   // when the first request must be whole; zero once it is, or for no bound
+	yielded  bool        // it gives way to another; s.mu
+	served   atomic.Bool // it had an answer
+	// quietSince is when it was opened or had its last answer, in ms of the clock.
+	quietSince atomic.Int64
+	current    atomic.Pointer[exchange]
+	out        []byte // room for what is written to the client
+	held       []byte // and for an answer that is held
+	body       []byte // and for a request's body
 }
 
 type request struct {
@@ -269,7 +311,7 @@
 	defer close(c.requests)
 	t := c.s.Current().Times
 	for {
-		c.nc.SetReadDeadline(time.Now().Add(ms(t.IdleMs)))
+		c.readBy(t.IdleMs)
 		if c.ended.Load() || c.s.stopping.Load() && c.open.Load() == 0 {
 			return
 		}
@@ -283,7 +325,7 @@
 			return
 		}
 		began := c.s.Clock.Now()
-		c.nc.SetReadDeadline(time.Now().Add(ms(t.HeaderMs)))
+		c.readBy(t.HeaderMs)
 		h, err := c.r.Request(c.s.limits)
 		c.open.Add(1)
 		if err != nil {
@@ -307,6 +349,15 @@
 	}
 }
 
+// readBy bounds the next read, for a first request by what is left until it must be whole.
+func (c *conn) readBy(within float64) {
+	at := time.Now().Add(ms(within))
+	if !c.by.IsZero() && !c.served.Load() && c.by.Before(at) {
+		at = c.by
+	}
+	c.nc.SetReadDeadline(at)
+}
+
 // leave says that the client has gone.
 func (c *conn) leave() {
 	c.gone.Store(true)
@@ -321,6 +372,8 @@
 	for req := range c.requests {
 		if keep {
 			keep = c.serve(req) && !c.gone.Load() && !c.s.stopping.Load()
+			c.served.Store(true)
+			c.quietSince.Store(int64(c.s.Clock.Now()))
 			c.open.Add(-1)
 			if !keep {
 				c.ended.Store(true)
@@ -332,6 +385,9 @@
 	c.nc.Close()
 	c.s.mu.Lock()
 	delete(c.s.conns, c)
+	if c.yielded {
+		c.s.yielding--
+	}
 	c.s.homes[c.home].Add(-1)
 	c.s.mu.Unlock()
 }
@@ -364,7 +420,8 @@
 	return err
 }
 
-var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout",
+var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+	408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
 	417: "Expectation Failed", 429: "Too Many Requests", 431: "Request Header Fields Too Large", 501: "Not Implemented",
 	502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout", 505: "HTTP Version Not Supported"}
 
@@ -423,35 +480,24 @@
 	if s.stopping.Load() {
 		return c.refuse(503, "this marshal is stopping", true)
 	}
-	// What the head asks for: operation, tenant, key, mark, time. Nothing has been taken yet.
-	path, _, _ := strings.Cut(h.Target, "?")
-	if i := strings.Index(path, "://"); i > 0 { // absolute form: the authority is the host
-		rest := path[i+3:]
-		host, _, _ := strings.Cut(rest, "/")
-		h.Header["Host"] = []string{host}
-		h.Target = h.Target[i+3+len(host):]
-		path = rest[len(host):]
-		if path == "" {
-			path, h.Target = "/", "/"+h.Target
-		}
-	}
-	op := s.Current().Find(c.listener, h.Method, path)
-	if op < 0 || h.Method == "CONNECT" {
-		return c.refuse(404, "no operation matches "+h.Method+" "+path, h.Length != 0 || x.last)
+	if s.Terms.Health != "" && h.Target == s.Terms.Health && h.Method == "GET" && h.Length == 0 {
+		return c.plain(200, NotTaken, "serving", x.ends()) == nil && !x.ends()
 	}
-	o := s.Current().Operation[op]
-	if o.Repeat == settings.Repeat_FINGERPRINTED && h.Header.Get(s.names.mark) == "" {
-		return c.refuse(400, o.Name+" needs a mark against repeats in "+s.names.mark, h.Length != 0 || x.last)
+	// What the head asks for: operation, tenant, key, mark, time. Nothing has been taken yet.
+	absolute(h)
+	asked, err := c.asked(h)
+	var why refusal
+	if errors.As(err, &why) {
+		return c.refuse(why.status, why.text, h.Length != 0 || x.last)
 	}
-	limit, err := number(h.Header, s.names.time, o.LimitMs)
-	if err != nil {
-		return c.refuse(400, err.Error(), h.Length != 0 || x.last)
+	if s.tooLong(h.Length) {
+		return c.refuse(413, "the body is too long", true)
 	}
-	cost, err := number(h.Header, s.names.cost, 0)
-	if err != nil {
-		return c.refuse(400, err.Error(), h.Length != 0 || x.last)
+	if !s.claim(asked.ID) {
+		return c.refuse(409, "a request of this id is open", h.Length != 0 || x.last)
 	}
-	x.limit = min(limit, o.LimitMs)
+	defer s.release(asked.ID)
+	x.limit = asked.Limit
 	if s.open.Add(1) > int64(s.Current().Limits.Open) {
 		s.open.Add(-1)
 		return c.refuse(503, "too many invocations are open", h.Length != 0 || x.last, "Retry-After", "1")
@@ -464,20 +510,22 @@
 		c.gone.Store(true)
 		return false
 	}
+	if s.Terms.MostBody > 0 && !x.whole {
+		return c.refuse(413, "the body is too long", true)
+	}
 	x.trailers = h1.Listed(h.Header["Te"], "trailers")
 	h.DropHops()
 	budget := x.limit - s.Current().Times.AnswerMs - (s.Clock.Now() - x.began)
 	if budget <= 0 {
 		return c.refuse(503, "no time left when it had arrived", x.last || !x.whole)
 	}
-	x.pool, x.local = s.Set.Place(op)
+	x.pool, x.local = s.Set.Place(asked.Op)
 	c.current.Store(x)
 	defer c.current.Store(nil)
 	if c.gone.Load() {
 		return false
 	}
-	x.tenant, x.cost, x.write = s.Current().TenantIndex(h.Header.Get(s.names.tenant)), cost, o.Write
-	x.key, x.retry = h.Header.Get(s.names.key), s.names.retry != "" && h.Header.Get(s.names.retry) != ""
+	x.tenant, x.cost, x.write, x.key, x.retry = asked.Tenant, asked.Cost, asked.Write, asked.Key, asked.Retry
 	x.dueAt = s.Clock.Now() + budget
 	at := 0
 	if len(s.Loops) > 1 {
--- /dev/null
+++ b/internal/front/terms.go
@@ -0,0 +1,109 @@
+package front
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"arrowcleat/internal/h1"
+	"arrowcleat/internal/settings"
+)
+
+// Terms are what a protocol asks of the clients' side beyond its settings; the zero value is the project's own.
+type Terms struct {
+	Read     func(h *h1.Head) (Asked, error)        // nil: by the names that settings give
+	Health   string                                 // a path at which the marshal says that it serves
+	MostBody int64                                  // bytes of a body, of a request or an answer; longer ones are errors. 0: they are streamed
+	FirstMs  float64                                // from a connection's opening to its first whole request; 0: as for any other
+	ComeBack func(ms float64) (field, value string) // when a throttled client may come back
+	Quiet    bool                                   // what nodes send ahead of an answer is not passed on
+}
+
+// Asked is what a request asks for.
+type Asked struct {
+	Op, Tenant   int
+	Key          string
+	ID           string  // no two of one id are open at once; empty: it has none
+	Limit, Cost  float64 // ms
+	Retry, Write bool
+}
+
+// refusal is why a request is turned away before it is taken.
+type refusal struct {
+	status int
+	text   string
+}
+
+func (r refusal) Error() string { return r.text }
+
+// Refused is an error that turns a request away with a status.
+func Refused(status int, text string) error { return refusal{status, text} }
+
+// asked finds operation, tenant, key, mark and time in a head as the project's own protocol has them.
+func (c *conn) asked(h *h1.Head) (a Asked, err error) {
+	s := c.s
+	if s.Terms.Read != nil {
+		return s.Terms.Read(h)
+	}
+	path, _, _ := strings.Cut(h.Target, "?")
+	op := s.Current().Find(c.listener, h.Method, path)
+	if op < 0 || h.Method == "CONNECT" {
+		return a, Refused(404, "no operation matches "+h.Method+" "+path)
+	}
+	o := s.Current().Operation[op]
+	if o.Repeat == settings.Repeat_FINGERPRINTED && h.Header.Get(s.names.mark) == "" {
+		return a, Refused(400, o.Name+" needs a mark against repeats in "+s.names.mark)
+	}
+	limit, err := number(h.Header, s.names.time, o.LimitMs)
+	if err != nil {
+		return a, Refused(400, err.Error())
+	}
+	cost, err := number(h.Header, s.names.cost, 0)
+	if err != nil {
+		return a, Refused(400, err.Error())
+	}
+	return Asked{Op: op, Tenant: s.Current().TenantIndex(h.Header.Get(s.names.tenant)), Key: h.Header.Get(s.names.key),
+		Limit: min(limit, o.LimitMs), Cost: cost, Retry: s.names.retry != "" && h.Header.Get(s.names.retry) != "", Write: o.Write}, nil
+}
+
+// absolute takes the authority of a target in absolute form for the host.
+func absolute(h *h1.Head) {
+	path, _, _ := strings.Cut(h.Target, "?")
+	i := strings.Index(path, "://")
+	if i <= 0 {
+		return
+	}
+	host, _, _ := strings.Cut(path[i+3:], "/")
+	h.Header["Host"] = []string{host}
+	h.Target = h.Target[i+3+len(host):]
+	if len(path) == i+3+len(host) {
+		h.Target = "/" + h.Target
+	}
+}
+
+// claim opens an id; false says that it is open.
+func (s *Server) claim(id string) bool {
+	if id == "" {
+		return true
+	}
+	_, open := s.ids.LoadOrStore(id, true)
+	return !open
+}
+
+func (s *Server) release(id string) {
+	if id != "" {
+		s.ids.Delete(id)
+	}
+}
+
+// tooLong says that a body is known to be longer than the terms allow.
+func (s *Server) tooLong(length int64) bool { return s.Terms.MostBody > 0 && length > s.Terms.MostBody }
+
+// comeBack are the fields that say when to come back.
+func (s *Server) comeBack(ms float64) []string {
+	if s.Terms.ComeBack != nil {
+		field, value := s.Terms.ComeBack(ms)
+		return []string{field, value}
+	}
+	return []string{"Retry-After", strconv.Itoa(max(1, int(ms/1000+0.999))), "Retry-After-Ms", fmt.Sprintf("%.0f", ms)}
+}
--- /dev/null
+++ b/internal/platform/config.go
@@ -0,0 +1,162 @@
+// Package platform is the marshal on the operators' platform: its configuration, what the heads of its clients' requests
+// say, and its ways to discovery, to the release API and to the other marshals. It decides nothing; docs/platform.md.
+package platform
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"github.com/tidwall/gjson"
+
+	"arrowcleat/balance"
+	"arrowcleat/internal/brief"
+	"arrowcleat/internal/control"
+	"arrowcleat/internal/seats"
+	"arrowcleat/internal/settings"
+)
+
+// The protocol's own figures.
+const (
+	mostBody     = 64 << 10 // bytes of a body
+	mostDatagram = 256      // bytes between marshals
+	firstMs      = 2500.0   // from connecting to a whole first request, of the 3 s in which a client is owed something
+	idleMs       = 120000.0 // a connection that has served is kept while there is room
+	leaveMs      = 600.0    // after TERM, in which new connections go on coming
+	restMs       = 700.0    // beyond the longest limit, until KILL comes
+)
+
+// Config is what the platform tells a marshal.
+type Config struct {
+	Set       *settings.Settings
+	Module    balance.Settings // what the simulator gives an instance
+	Discovery string
+	API       string
+	Cores     float64
+	MemoryMB  float64
+
+	news   gjson.Result
+	known  gjson.Result
+	listen string // of datagrams
+	peers  []string
+	all    string
+	names  *names
+}
+
+// names are the words of the settings that the wire names things by.
+type names struct{ zones, models []string }
+
+// Read reads a configuration. The error names the field that is missing or wrong.
+func Read(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c, err := parse(string(text))
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+func parse(text string) (*Config, error) {
+	if !gjson.Valid(text) {
+		return nil, errors.New("not valid JSON")
+	}
+	j := gjson.Parse(text)
+	for name, t := range map[string]gjson.Type{"listen": gjson.String, "discovery": gjson.String, "seed": gjson.String,
+		"release_api.address": gjson.String, "settings": gjson.JSON, "limits.sockets": gjson.Number,
+		"limits.memory_mb": gjson.Number, "limits.cores": gjson.Number} {
+		if v := j.Get(name); !v.Exists() {
+			return nil, fmt.Errorf("%s: missing", name)
+		} else if v.Type != t {
+			return nil, fmt.Errorf("%s: not of the type %v", name, t)
+		}
+	}
+	seed, err := strconv.ParseUint(j.Get("seed").Str, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("seed: %.40q is no number of 64 bits in hex", j.Get("seed").Str)
+	}
+	c := &Config{Module: brief.Settings(j.Get("settings")), Discovery: j.Get("discovery").Str,
+		API: j.Get("release_api.address").Str, Cores: j.Get("limits.cores").Num, MemoryMB: j.Get("limits.memory_mb").Num,
+		news: j.Get("release_api.news"), known: j.Get("known"), listen: j.Get("peer_listen").Str,
+		all: j.Get("peers_all").Str}
+	for _, a := range map[string]string{"listen": j.Get("listen").Str, "discovery": c.Discovery, "release_api.address": c.API} {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			return nil, fmt.Errorf("%.60q is no host:port", a)
+		}
+	}
+	for _, p := range j.Get("peers").Array() {
+		c.peers = append(c.peers, p.Str)
+	}
+	if may, _ := c.Module["limits.may-tell"].(bool); !may {
+		c.listen = ""
+	}
+	c.Set, err = c.settings(j.Get("listen").Str, int(j.Get("limits.sockets").Num))
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	c.Set.Seed = seed
+	return c, nil
+}
+
+// settings are the marshal's own, for its clients' side and its connections to nodes. The module gets the platform's.
+func (c *Config) settings(listen string, sockets int) (*settings.Settings, error) {
+	num := func(name string) float64 { v, _ := c.Module[name].(float64); return v }
+	c.names = &names{}
+	c.names.zones, _ = c.Module["zones"].([]string)
+	c.names.models, _ = c.Module["models"].([]string)
+	zone := int(num("zone"))
+	if zone < 0 || zone >= len(c.names.zones) {
+		return nil, fmt.Errorf("the own zone, %d, is none of %d", zone, len(c.names.zones))
+	}
+	clients, nodes := seats.Divide(sockets)
+	s := &settings.Settings{
+		Instance: &settings.Instance{Number: uint32(num("number")), Marshals: uint32(num("marshals")), Zone: c.names.zones[zone]},
+		Listen:   &settings.Listen{Invocations: listen},
+		Zone:     c.names.zones,
+		Model:    c.names.models,
+		Headers: &settings.Headers{Tenant: "X-Customer", Key: "X-Object", Mark: "Idempotency-Key", TimeMs: "X-Expires-In-Ms",
+			TurnedAway: "X-Never-Ran"},
+		Limits: &settings.Limits{Connections: uint32(clients), Open: uint32(clients), Queue: uint32(clients), LineBytes: 4096,
+			HeaderBytes: 16 << 10, RepeatBodyBytes: mostBody + 1, HeldAnswerBytes: mostBody + 1, IdlePerNode: uint32(nodes),
+			Probes: true, ProbePath: "/load"},
+		Times: &settings.Times{HeaderMs: firstMs, BodyMs: firstMs, WriteMs: 1000, IdleMs: idleMs, DialMs: num("limits.dial-timeout-ms"),
+			NodeIdleMs: num("limits.conn-idle-ms") * 0.9, AnswerMs: 5},
+		Roster: &settings.Roster{}, Conveyor: &settings.Conveyor{}, Record: &settings.Record{},
+		Rules:   &settings.Rules{GraceMs: num("rules.stop-sending-ms")},
+		Rollout: &settings.Rollout{VoteTimeoutMs: num("rollout.api-timeout-ms")},
+		Log:     &settings.Log{Level: "warn", Form: "text"},
+	}
+	ops, _ := c.Module["operations"].([]balance.Settings)
+	if len(ops) == 0 {
+		return nil, errors.New("no operation")
+	}
+	for _, o := range ops {
+		text := func(name string) string { v, _ := o[name].(string); return v }
+		repeat, ok := map[string]settings.Repeat{"idempotent": settings.Repeat_IDEMPOTENT,
+			"fingerprinted": settings.Repeat_FINGERPRINTED, "side-effecting": settings.Repeat_SIDE_EFFECTING}[text("repeat")]
+		limit, _ := o["limit-ms"].(float64)
+		if !ok || text("name") == "" || limit <= 0 {
+			return nil, fmt.Errorf("operation %q: name, repeat or time limit is missing or unknown", text("name"))
+		}
+		s.Operation = append(s.Operation, &settings.Operation{Name: text("name"), Repeat: repeat, LimitMs: limit})
+		s.Times.StopMs = max(s.Times.StopMs, limit+restMs)
+	}
+	tenants, _ := c.Module["tenants"].([]balance.Settings)
+	for _, t := range tenants {
+		name, _ := t["name"].(string)
+		s.Tenant = append(s.Tenant, &settings.Tenant{Name: name})
+	}
+	return s, nil
+}
+
+// Known is the list as the marshal last held it.
+func (c *Config) Known() ([]control.Line, error) {
+	if !c.known.IsObject() {
+		return nil, nil
+	}
+	return newReader(c.names).lines(c.known)
+}
--- /dev/null
+++ b/internal/platform/conveyor.go
@@ -0,0 +1,116 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"arrowcleat/balance"
+	"arrowcleat/internal/rest"
+)
+
+const apiBase = "/v2/projects/main"
+
+var (
+	phases   = []string{"testing", "recalling", "live", "recalled"} // in the order of balance.Phase
+	verdicts = []string{"none", "on", "hold", "back"}               // in that of balance.Verdict
+	// What a vote that was not carried out comes back with.
+	refusals = map[int]struct {
+		word   string
+		ending balance.Ending
+	}{429: {"BUSY", balance.Full}, 409: {"STALE", balance.Ignored}, 500: {"FAILED", balance.Failed}, 400: {"SYNTAX", balance.Failed}}
+)
+
+// Staged is told where the newest build stands.
+type Staged = func(ver, stage int, phase balance.Phase, cap, age float64, reply bool)
+
+// Conveyor follows the platform's news of the newest build, and votes on it.
+type Conveyor struct {
+	place
+	Patience time.Duration // for a vote's answer
+	Log      *slog.Logger
+	Staged   Staged
+	Failed   func(how balance.Ending)
+}
+
+// Run follows the news until the context ends.
+func (c *Conveyor) Run(ctx context.Context) {
+	c.keep(ctx, "release API", c.Log, func(_ context.Context, nc net.Conn) error {
+		return rest.Follow(nc, c.at(), apiBase+"/events", quietEvents, c.line)
+	})
+}
+
+func (c *Conveyor) line(text []byte) error {
+	if len(text) == 0 {
+		return nil
+	}
+	if !gjson.ValidBytes(text) {
+		return fmt.Errorf("release API: not valid JSON: %.80q", text)
+	}
+	j := gjson.ParseBytes(text)
+	if !j.IsObject() {
+		return fmt.Errorf("release API: no object: %.80q", text)
+	}
+	if j.Get("type").Str != "ROLLOUT" { // a sign of life, or news of what a marshal has no use for
+		return nil
+	}
+	return staged(j.Get("object"), false, c.Staged)
+}
+
+// staged reads a state whole or not at all.
+func staged(j gjson.Result, reply bool, tell Staged) error {
+	phase := slices.Index(phases, j.Get("State").Str)
+	for _, name := range []string{"Revision", "Wave", "MaxShare", "AgeMs"} {
+		if v := j.Get(name); v.Type != gjson.Number || v.Num < 0 {
+			return fmt.Errorf("release API: %s: no number that can be read in %.120q", name, j.Raw)
+		}
+	}
+	if phase < 0 || j.Get("MaxShare").Num > 1 {
+		return fmt.Errorf("release API: no state that can be read in %.120q", j.Raw)
+	}
+	tell(int(j.Get("Revision").Int()), int(j.Get("Wave").Int()), balance.Phase(phase), j.Get("MaxShare").Num, j.Get("AgeMs").Num, reply)
+	return nil
+}
+
+// Vote sends a vote on a connection of its own; it is answered by Staged or Failed.
+func (c *Conveyor) Vote(ver, stage int, verdict balance.Verdict) {
+	go func() {
+		if how := c.vote(ver, stage, verdict); how != balance.Succeeded {
+			c.Failed(how)
+		}
+	}()
+}
+
+func (c *Conveyor) vote(ver, stage int, verdict balance.Verdict) balance.Ending {
+	ctx, done := context.WithTimeout(context.Background(), c.Patience)
+	defer done()
+	body := fmt.Appendf(nil, `{"Revision":%d,"Wave":%d,"Decision":%q}`, ver, stage, verdicts[verdict])
+	status, answer, sent, err := rest.Call(ctx, c.at(), "POST", apiBase+"/votes", body)
+	how := balance.Succeeded
+	switch refused, known := refusals[status]; {
+	case err != nil && !sent:
+		how = balance.NoConnect
+	case err != nil:
+		how = balance.TimedOut
+	case !gjson.ValidBytes(answer):
+		err, how = errors.New("not valid JSON"), balance.TimedOut
+	case status == 200:
+		if err = staged(gjson.ParseBytes(answer), true, c.Staged); err != nil {
+			how = balance.TimedOut
+		}
+	case known && gjson.GetBytes(answer, "error").Str == refused.word:
+		how = refused.ending
+	default:
+		err, how = fmt.Errorf("status %d with %.80q", status, answer), balance.TimedOut
+	}
+	if how != balance.Succeeded {
+		c.Log.Info("vote not answered", "ver", ver, "stage", stage, "status", status, "err", err)
+	}
+	return how
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,78 @@
+package platform
+
+import (
+	"log/slog"
+	"strconv"
+	"time"
+
+	"arrowcleat/balance"
+	"arrowcleat/internal/control"
+	"arrowcleat/internal/front"
+	"arrowcleat/internal/serve"
+)
+
+// Marshal is one in service on the platform.
+type Marshal struct {
+	*serve.Marshal
+	roster   *Roster
+	conveyor *Conveyor
+}
+
+// Start starts a marshal as a configuration says.
+func Start(c *Config, log *slog.Logger) (*Marshal, error) {
+	known, err := c.Known()
+	if err != nil {
+		log.Warn("the list that was held last is of no use", "err", err)
+	}
+	m := &Marshal{}
+	hooks := serve.Hooks{
+		Ways: &serve.Ways{
+			Terms:    front.Terms{Read: c.asked, Health: "/healthz", MostBody: mostBody, FirstMs: firstMs, ComeBack: comeBack, Quiet: true},
+			Settings: c.Module,
+			Known:    known,
+			Strict:   true,
+			Reports:  reports,
+			Roster: func(listed func(bool, []control.Line), failed func()) serve.Roster {
+				m.roster = &Roster{place: place{address: c.Discovery}, Log: log, Listed: listed, Failed: failed, read: newReader(c.names)}
+				return m.roster
+			},
+			Conveyor: func(told Staged, failed func(balance.Ending)) serve.Conveyor {
+				if c.news.IsObject() {
+					if err := staged(c.news, false, told); err != nil {
+						log.Warn("the news in the configuration is of no use", "err", err)
+					}
+				}
+				m.conveyor = &Conveyor{place: place{address: c.API}, Log: log, Staged: told, Failed: failed,
+					Patience: time.Duration(c.Set.Rollout.VoteTimeoutMs * float64(time.Millisecond))}
+				return m.conveyor
+			},
+		},
+	}
+	hooks.Ways.NodeConnections = int(c.Set.Limits.IdlePerNode)
+	if c.listen != "" {
+		hooks.Ways.Peers = func(told func(int, string)) (serve.Peers, error) { return c.peersOf(log, told) }
+	}
+	m.Marshal, err = serve.Start(c.Set, log, hooks)
+	return m, err
+}
+
+// comeBack says when to come back, in seconds with decimals.
+func comeBack(ms float64) (field, value string) {
+	return "Retry-After", strconv.FormatFloat(ms/1000, 'f', 3, 64)
+}
+
+// Move takes the addresses of another configuration; all else needs a restart.
+func (m *Marshal) Move(c *Config) {
+	m.roster.Move(c.Discovery)
+	m.conveyor.Move(c.API)
+}
+
+// Leave is a planned end: for as long as new connections go on coming all is served, and after that what was taken.
+func (m *Marshal) Leave() error {
+	m.Front.Leave()
+	select {
+	case <-time.After(leaveMs * time.Millisecond):
+	case <-m.Ended():
+	}
+	return m.Stop()
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -41,7 +41,7 @@
 
 	pool   *back.Pool
 	groups []*group
-	peers  *control.Peers
+	peers  Peers
 	lns    []front.Listener // the main one first
 	meter  net.Listener     // of the metrics
 	cancel context.CancelFunc
@@ -60,8 +60,8 @@
 	m        *Marshal
 	number   int
 	set      *settings.Settings
-	roster   *control.Roster
-	conveyor *control.Conveyor
+	roster   Roster
+	conveyor Conveyor
 	account  *divide.Account // what the lanes share, nil for a lane alone
 	lanes    []*lane
 
@@ -88,6 +88,42 @@
 	Clock  loop.Clock
 	Module func(h balance.Host, set balance.Settings, seed uint64) divide.Module
 	Front  func(*front.Server)
+	Ways   *Ways
+}
+
+// Ways are those of another protocol, in place of the project's own lines to roster, conveyor and peers. A nil
+// Peers is none; Known is the list that the marshal held last.
+type Ways struct {
+	Terms           front.Terms
+	Settings        balance.Settings  // the module's
+	Strict          bool              // back.Pool's
+	Reports         map[string]string // its names
+	NodeConnections int               // its bound on all
+	Known           []control.Line
+	Roster          func(listed func(whole bool, lines []control.Line), failed func()) Roster
+	Conveyor        func(staged func(ver, stage int, phase balance.Phase, cap, age float64, reply bool),
+		failed func(balance.Ending)) Conveyor
+	Peers func(told func(from int, text string)) (Peers, error)
+}
+
+// Roster brings the list of nodes.
+type Roster interface {
+	Run(context.Context)
+	Fetch()
+	Watch(on bool)
+}
+
+// Conveyor brings the news of builds and takes votes.
+type Conveyor interface {
+	Run(context.Context)
+	Vote(ver, stage int, verdict balance.Verdict)
+}
+
+// Peers are the other marshals.
+type Peers interface {
+	Run()
+	Tell(to int, text string)
+	Close() error
 }
 
 func dur(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
@@ -139,20 +175,30 @@
 	if err := m.open(); err != nil {
 		return nil, err
 	}
+	if w := hooks.Ways; w != nil {
+		m.pool.Strict, m.pool.Names, m.pool.All = w.Strict, w.Reports, w.NodeConnections
+		if w.Peers != nil {
+			p, err := w.Peers(m.told)
+			if err != nil {
+				m.closeSockets()
+				return nil, err
+			}
+			m.peers = p
+		}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
-	if m.peers != nil {
-		m.peers.Told = m.told
-		m.peers.Bad = func(err error) { m.Log.Warn("between marshals", "err", err) }
-	}
 	for _, g := range m.groups {
-		g.wire()
-		nodes, addresses := g.last()
+		nodes, addresses := g.last(hooks.Ways)
 		for _, l := range g.lanes {
 			l.loop.News(func() { l.begin(hooks, seed+uint64(g.number), nodes, addresses) }) // before any other
 		}
+		g.wire(hooks.Ways)
 	}
 	m.Front = &front.Server{Set: set, Clock: hooks.Clock, Loops: m.Loops, Cores: cores, Pool: m.pool, Log: log}
+	if hooks.Ways != nil {
+		m.Front.Terms = hooks.Ways.Terms
+	}
 	if hooks.Front != nil {
 		hooks.Front(m.Front)
 	}
@@ -220,9 +266,11 @@
 		if err != nil {
 			return fmt.Errorf("listen.peers: %w", err)
 		}
-		m.peers = &control.Peers{Number: int(m.Set.Instance.Number), Conn: conn, To: map[int]*net.UDPAddr{}}
+		peers := &control.Peers{Number: int(m.Set.Instance.Number), Conn: conn, To: map[int]*net.UDPAddr{}, Told: m.told,
+			Bad: func(err error) { m.Log.Warn("between marshals", "err", err) }}
+		m.peers = peers
 		for _, p := range m.Set.Peer {
-			if m.peers.To[int(p.Number)], err = net.ResolveUDPAddr("udp", p.Address); err != nil {
+			if peers.To[int(p.Number)], err = net.ResolveUDPAddr("udp", p.Address); err != nil {
 				return fmt.Errorf("peer %d: %w", p.Number, err)
 			}
 		}
@@ -270,7 +318,7 @@
 		ln.Close()
 	}
 	if m.peers != nil {
-		m.peers.Conn.Close()
+		m.peers.Close()
 	}
 	if m.meter != nil {
 		m.meter.Close()
@@ -284,27 +332,30 @@
 
 // wire connects what comes from the control sockets to the loops. News of nodes and builds goes before all that waits
 // there, and the account knows of a build before any instance does.
-func (g *group) wire() {
+func (g *group) wire(ways *Ways) {
+	listFailed := func() {
+		if g.account != nil {
+			g.account.ListFailed()
+		}
+		g.each(func(l *lane) { l.events().ListFailed() })
+	}
+	voteFailed := func(how balance.Ending) {
+		l := g.voter()
+		l.loop.Post(func() { l.events().VoteFailed(how) })
+	}
+	if ways != nil {
+		g.roster, g.conveyor = ways.Roster(g.listed, listFailed), ways.Conveyor(g.staged, voteFailed)
+		return
+	}
 	if r := g.set.Roster; r.Address != "" {
 		g.roster = &control.Roster{Address: r.Address, Ask: r.Ask, Number: int(g.set.Instance.Number),
-			Wait: dur(r.ReconnectMs), WaitMost: dur(r.ReconnectMostMs),
-			Log:    g.m.Log,
-			Listed: g.listed,
-			Failed: func() {
-				if g.account != nil {
-					g.account.ListFailed()
-				}
-				g.each(func(l *lane) { l.events().ListFailed() })
-			}}
+			Wait: dur(r.ReconnectMs), WaitMost: dur(r.ReconnectMostMs), Log: g.m.Log, Listed: g.listed, Failed: listFailed}
 	}
 	if c := g.set.Conveyor; c.Address != "" {
 		g.conveyor = &control.Conveyor{Address: c.Address, Number: int(g.set.Instance.Number), Wait: dur(c.ReconnectMs),
 			WaitMost: dur(c.ReconnectMostMs), Patience: dur(g.set.Rollout.VoteTimeoutMs), Log: g.m.Log,
 			Staged: g.staged,
-			Failed: func(how balance.Ending) {
-				l := g.voter()
-				l.loop.Post(func() { l.events().VoteFailed(how) })
-			},
+			Failed: voteFailed,
 			Tallied: func(ver, op, samples, errors int, mean, age float64) {
 				g.each(func(l *lane) { l.events().Tallied(ver, op, samples, errors, mean, age) })
 			},
@@ -374,7 +425,12 @@
 
 // begin starts the module with the list and the stage that the marshal had last.
 func (l *lane) begin(hooks Hooks, seed uint64, nodes []balance.Node, addresses []string) {
-	set := l.set.ModuleOf(l.instance)
+	var set balance.Settings
+	if hooks.Ways != nil {
+		set = hooks.Ways.Settings
+	} else {
+		set = l.set.ModuleOf(l.instance)
+	}
 	seed += uint64(l.instance) << 32
 	l.core.Start(func(h balance.Host) marshal.Module {
 		if l.account != nil {
@@ -420,9 +476,13 @@
 func (l *lane) events() marshal.Module { return l.core.Events() }
 
 // last reads the list of the marshal's life before.
-func (g *group) last() ([]balance.Node, []string) {
+func (g *group) last(ways *Ways) ([]balance.Node, []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if ways != nil {
+		g.list.take(true, ways.Known)
+		return g.read(ways.Known)
+	}
 	lines, err := g.list.load()
 	if err != nil {
 		g.m.Log.Warn("the last list is of no use", "file", g.set.Roster.File, "err", err)
@@ -587,7 +647,7 @@
 		m.Front.Close(2 * time.Second)
 		m.cancel()
 		if m.peers != nil {
-			m.peers.Conn.Close()
+			m.peers.Close()
 		}
 		m.pool.Close()
 		m.wg.Wait()
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -11,6 +11,7 @@
 	"github.com/tidwall/gjson"
 
 	"arrowcleat/balance"
+	"arrowcleat/internal/brief"
 )
 
 // Serve reads batches from in and writes one reply for each to out, until in ends.
@@ -96,7 +97,7 @@
 		host := &instance{wire: w, who: who}
 		w.instances[who] = host
 		host.guard(func() {
-			host.b = balance.New(host, settings(e.object("config")), e.seed("nonce64"))
+			host.b = balance.New(host, brief.Settings(e.object("config")), e.seed("nonce64"))
 		})
 		return
 	}
