A connection gives way only when no request can be on its way

Probe: TestBurstOfConnections, 120 clients that connect and ask at once with room for 20 and one processor: 100 of 120 reset. Lines: seats.Yield took any connection that had never served, from 0 ms on, and front.accept put them out in a row before their readers had run once.

Change: a connection that has just come is left alone for 300 ms; one with something unread on its socket never gives way; those that give way, and those turned away that linger, are bounded, for each holds a descriptor; a connection to a node counts from its dial on.

--- a/cmd/arrowcleat/platform.go
+++ b/cmd/arrowcleat/platform.go
@@ -2,14 +2,15 @@
 
 import (
 	"errors"
+	"fmt"
+	"log/slog"
 	"math"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"syscall"
-
-	"log/slog"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -18,7 +19,7 @@
 )
 
 func platformCommand() *cobra.Command {
-	var config string
+	var config, level string
 	c := &cobra.Command{
 		Use:   "platform [--config FILE]",
 		Short: "Run a marshal in service on the operators' platform",
@@ -36,14 +37,15 @@
 			if config == "" {
 				return badInput{errors.New("neither --config nor GW_CONFIG names a configuration")}
 			}
-			return runOnPlatform(config)
+			return runOnPlatform(config, level)
 		},
 	}
 	c.Flags().StringVar(&config, "config", "", "file of the configuration; GW_CONFIG where it is left out")
+	c.Flags().StringVar(&level, "log", "info", "debug, info, warn or error; debug also says every second what the marshal sees")
 	return c
 }
 
-func runOnPlatform(path string) error {
+func runOnPlatform(path, level string) error {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
@@ -53,16 +55,27 @@
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
 	debug.SetMemoryLimit(int64(c.MemoryMB*memoryPart) << 20)
-	var level slog.LevelVar
-	log := logger(os.Stderr, c.Set.Log, &level)
-	stop, done := signals(&level, log)
+	var at slog.LevelVar
+	if err := at.UnmarshalText([]byte(level)); err != nil {
+		return badInput{fmt.Errorf("--log: %q is no level", level)}
+	}
+	c.Set.Log.Level = level
+	log := logger(os.Stderr, c.Set.Log, &at)
+	stop, done := signals(&at, log)
 	defer done()
 	m, err := platform.Start(c, log)
 	if err != nil {
 		return badInput{err}
 	}
+	views := time.NewTicker(time.Second)
+	defer views.Stop()
 	for {
 		select {
+		case <-views.C:
+			if at.Level() <= slog.LevelDebug {
+				m.Say()
+			}
+			continue
 		case <-hup:
 			next, err := platform.Read(path)
 			if err != nil {
--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -108,25 +108,45 @@
 	if p.All > 0 && p.total.Load() >= int64(p.All) {
 		p.dropOldest()
 	}
+	p.total.Add(1) // it holds a descriptor from here on
 	d := net.Dialer{Timeout: p.Dial, KeepAlive: -1}
 	nc, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
+		p.total.Add(-1)
 		return nil, err
 	}
-	p.total.Add(1)
 	c := &Conn{Conn: nc, address: address, pool: p, R: h1.NewReader(nc, readBuffer)}
 	if t, ok := nc.(*net.TCPConn); ok {
 		c.raw, _ = t.SyscallConn()
 	}
 	c.peek = func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		c.alive = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		c.alive = waits(fd)
 		return true
 	}
 	return c, nil
 }
 
+// waits says that nothing has come on a socket, not even its end.
+func waits(fd uintptr) bool {
+	var b [1]byte
+	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+}
+
+// Unread says that something has come on a connection that nobody has read yet.
+func Unread(nc net.Conn) (unread bool) {
+	t, ok := nc.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return false
+	}
+	err = raw.Control(func(fd uintptr) { unread = !waits(fd) })
+	return unread && err == nil
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	if !c.closed.Swap(true) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -44,8 +44,9 @@
 	Log   *slog.Logger
 	Terms Terms
 
-	ids      sync.Map    // of the requests that are open
-	leaving  atomic.Bool // every connection ends with its next answer
+	ids      sync.Map     // of the requests that are open
+	leaving  atomic.Bool  // every connection ends with its next answer
+	parting  atomic.Int64 // connections turned away that still hold a descriptor
 	now      atomic.Pointer[settings.Settings]
 	lns      []Listener
 	mu       sync.Mutex
@@ -143,7 +144,7 @@
 	}
 	s.mu.Lock()
 	full := len(s.conns)-s.yielding >= int(s.Current().Limits.Connections)
-	if full && s.Terms.FirstMs > 0 {
+	if full && s.Terms.FirstMs > 0 && s.yielding < mostParting {
 		full = !s.yield()
 	}
 	if !full {
@@ -157,7 +158,11 @@
 		s.Counts.TurnedAway.Add(1)
 		go func() {
 			c.plain(503, NotTaken, "too many connections", true)
-			c.linger()
+			if s.parting.Add(1) <= mostParting {
+				c.linger()
+			}
+			s.parting.Add(-1)
+			c.nc.Close()
 		}()
 		return
 	}
@@ -188,6 +193,10 @@
 		}
 	}
 	i := seats.Yield(all)
+	for i >= 0 && back.Unread(conns[i].nc) { // its request is here already
+		all[i].Busy = true
+		i = seats.Yield(all)
+	}
 	if i < 0 {
 		return false
 	}
@@ -268,6 +277,9 @@
 const (
 	readBuffer = 4096
 	lingerFor  = 300 * time.Millisecond // for a client to read why its connection ends
+	// mostParting are the connections turned away that may linger, and those that give way at once: in a flood they
+	// would use up the descriptors.
+	mostParting = 8
 )
 
 func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,134 @@
+package front
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"arrowcleat/internal/back"
+	"arrowcleat/internal/h1"
+	"arrowcleat/internal/loop"
+	"arrowcleat/internal/marshal"
+	"arrowcleat/internal/settings"
+)
+
+// serving starts a clients' side with room for so many connections; every request is answered before it is taken.
+func serving(t *testing.T, connections uint32, terms Terms) (*Server, string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := loop.Monotonic()
+	s := &Server{Set: &settings.Settings{Instance: &settings.Instance{}, Headers: &settings.Headers{},
+		Limits: &settings.Limits{Connections: connections, Open: connections, LineBytes: 1000, HeaderBytes: 1000, RepeatBodyBytes: 100},
+		Times:  &settings.Times{HeaderMs: 1000, BodyMs: 1000, WriteMs: 1000, IdleMs: 1000}},
+		Clock: clock, Loops: []*loop.Loop{loop.New(clock, 1)}, Cores: [][]*marshal.Core{{}}, Pool: &back.Pool{},
+		Log: slog.New(slog.DiscardHandler), Terms: terms}
+	go s.Serve([]Listener{{Listener: ln}})
+	t.Cleanup(func() { s.Close(time.Second) })
+	return s, ln.Addr().String()
+}
+
+func ask(nc net.Conn, text string) (int, error) {
+	nc.SetDeadline(time.Now().Add(3 * time.Second))
+	if _, err := io.WriteString(nc, text); err != nil {
+		return 0, err
+	}
+	r, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		return 0, err
+	}
+	return r.StatusCode, r.Body.Close()
+}
+
+const healthy = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+
+// Clients that come all at once and ask at once are all answered: none gives way before its request has been read.
+func TestBurstOfConnections(t *testing.T) {
+	_, address := serving(t, 20, Terms{Health: "/healthz", FirstMs: 2000})
+	var wg sync.WaitGroup
+	var lost atomic.Int32
+	for range 120 {
+		wg.Go(func() {
+			nc, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer nc.Close()
+			if status, err := ask(nc, healthy); err != nil || status != 200 && status != 503 {
+				lost.Add(1)
+				t.Log(status, err)
+			}
+		})
+	}
+	wg.Wait()
+	if n := lost.Load(); n > 0 {
+		t.Errorf("%d of 120 requests got no answer", n)
+	}
+}
+
+// Clients that say nothing give way to one that asks, and are closed in time in any case.
+func TestSilentClients(t *testing.T) {
+	_, address := serving(t, 20, Terms{Health: "/healthz", FirstMs: 600})
+	var silent []net.Conn
+	for range 60 {
+		nc, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		silent = append(silent, nc)
+	}
+	time.Sleep(400 * time.Millisecond)
+	nc, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	if status, err := ask(nc, healthy); status != 200 || err != nil {
+		t.Errorf("a client that asks among silent ones: %d, %v", status, err)
+	}
+	for i, c := range silent {
+		c.SetReadDeadline(time.Now().Add(2 * time.Second))
+		if _, err := io.ReadAll(c); err != nil && strings.Contains(err.Error(), "timeout") {
+			t.Fatalf("silent client %d was neither answered nor closed", i)
+		}
+	}
+}
+
+// Terms turn away what is too long, and a second request of an id that is open, before either is taken.
+func TestTerms(t *testing.T) {
+	s, address := serving(t, 20, Terms{MostBody: 10, FirstMs: 1000, Read: func(h *h1.Head) (a Asked, err error) {
+		if a.ID = h.Header.Get("X-Id"); a.ID == "" {
+			return a, Refused(400, "no id")
+		}
+		return a, nil
+	}})
+	s.ids.Store("open", true)
+	for text, want := range map[string]int{
+		"Content-Length: 5\r\n\r\nhello":              400,
+		"X-Id: a\r\nContent-Length: 60000000\r\n\r\n": 413,
+		"X-Id: a\r\nTransfer-Encoding: chunked\r\n\r\nff\r\n" + strings.Repeat("x", 255) + "\r\n0\r\n\r\n": 413,
+		"X-Id: open\r\n\r\n":                     409,
+		"X-Id: a\r\nContent-Length: 5\r\n\r\nhe": 408,
+	} {
+		nc, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if status, err := ask(nc, fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\n%s", text)); status != want || err != nil {
+			t.Errorf("%.60q: %d, %v; want %d", text, status, err, want)
+		}
+		nc.Close()
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -1,8 +1,11 @@
 package platform
 
 import (
+	"fmt"
 	"log/slog"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"arrowcleat/balance"
@@ -76,3 +79,23 @@
 	}
 	return m.Stop()
 }
+
+// Say logs what the marshal sees: what it took and answered, and of each node what was sent, how it ended and what is
+// out there, to be held against the traffic on the sockets.
+func (m *Marshal) Say() {
+	r, ok := m.Look()
+	if !ok {
+		return
+	}
+	nodes := make([]string, 0, len(r.Nodes))
+	for _, n := range r.Nodes {
+		if n.Health != balance.Gone {
+			nodes = append(nodes, fmt.Sprintf("%s/%d/%d:%d%v", n.Address, n.Ver, n.Health, n.Sent, n.Endings))
+		}
+	}
+	slices.Sort(nodes)
+	m.Log.Debug("view", "taken", r.Taken, "succeeded", r.Succeeded, "throttled", r.Throttled, "terminated", r.Terminated,
+		"lapsed", r.Lapsed, "open", r.Open, "dispatches", r.Dispatches, "endings", fmt.Sprint(r.Endings), "ver", r.Ver, "stage", r.Stage,
+		"cap", r.Cap, "connections", m.Front.Counts.Connections.Load(), "turned_away", m.Front.Counts.TurnedAway.Load(),
+		"malformed", m.Front.Counts.Malformed.Load(), "refused_behind", m.Behind(), "nodes", strings.Join(nodes, " "))
+}
--- a/internal/seats/seats.go
+++ b/internal/seats/seats.go
@@ -3,9 +3,10 @@
 package seats
 
 const (
-	kept      = 32     // descriptors for all that is neither a client's nor a node's connection
+	kept      = 64     // descriptors for all that is neither a client's nor a node's connection
 	clients   = 0.5    // of the rest, for clients' connections: they hold a third at most, strangers the others
 	idleLeast = 2000.0 // ms that a connection which has served is left alone after its last answer
+	mayAsk    = 300.0  // ms in which a client that has connected is taken to be about to ask
 )
 
 // Divide divides descriptors between connections of clients and to nodes.
@@ -19,12 +20,13 @@
 type Seat struct {
 	Since  float64 // ms since its last answer, or since it was opened if it never had one
 	Served bool    // it had an answer
-	Busy   bool    // an invocation is open on it
+	Busy   bool    // an invocation is open on it, or something came that is not read yet
 }
 
 // Yield says which connection gives way to a new one, or -1. One that never asked for anything goes first, the oldest
 // of them: it guards against clients that connect by hundreds and say nothing. It may hurt a client that opens a
-// connection long before it asks. Then goes the one unused for longest.
+// connection long before it asks; one that has just come is left alone, or of many that come at once each would put
+// out the one before, with a request on its way. Then goes the one unused for longest.
 func Yield(all []Seat) int {
 	oldest := func(served bool, least float64) int {
 		at := -1
@@ -35,7 +37,7 @@
 		}
 		return at
 	}
-	if i := oldest(false, 0); i >= 0 {
+	if i := oldest(false, mayAsk); i >= 0 {
 		return i
 	}
 	return oldest(true, idleLeast)
