Where few marshals judge, a build under which the fleet sags goes back

Possibilities: the socket side is slow (excluded: 0.1 ms to the first attempt, 5 to 10% of a core); too much is sent (excluded: 11 to 22 out a marshal, 0.25 s for each at the node); the builds are bad in a way that the module does not see. Lines: judge() cast On because both builds are slow alike (compare), and could send back only on tallies (slowBy), which this deployment has not. And a bad build, once live, stayed: send() gave the next build nothing, since overloaded() throttled the idempotent operation, the only one that a shielded stage may see; with no outcomes, and blind votes kept back by the trouble, nobody voted on it for 20 s.

Change, each only where few marshals judge (docs/design.md): what is too much for the fleet may try an idle trial node; a build goes back, and none goes on, when the fleet answers under 0.6 of its usual pace in trouble that began under it; trouble older than the build does not keep its blind vote back once it has been judged by ten outcomes and looks no worse.

The second vote of Example_troubleUnderBuild comes 3.5 s later: its throttled invocations now draw for the trial node.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -49,6 +49,8 @@
 	spared      = 0.45    // of the bound that is kept for the operations worth most
 	goneFor     = 60000.0 // ms that a node which is gone is remembered
 	queueFor    = 0.5     // of the SLO time that may be spent in work and waiting at a node
+	sagged      = 0.6     // of the usual pace of answers, under which the fleet sags
+	sagsBack    = 3.0     // intervals in a row of that under a build until it goes back
 )
 
 // New starts an instance.
@@ -111,10 +113,7 @@
 	now := b.h.Now()
 	inv := &invocation{id: id, op: op, tenant: tenant, key: key, came: now, due: now + budget, cost: cost}
 	b.take(inv)
-	if b.overloaded(inv) {
-		b.giveUp(inv)
-		return
-	}
+	inv.spare = b.overloaded(inv)
 	b.send(inv)
 }
 
@@ -150,9 +149,15 @@
 		}
 		b.room[0], b.room[1] = trial.some, earlier.some
 	}
-
+	// What is too much for the fleet may try an idle trial node; one of many marshals can't tell one. It guards
+	// against overload under a bad build that throttles all that speaks for the next; it may add to harm.
+	first := len(inv.sent) == 0
+	if first && inv.spare && (b.crowd() || trial.size() == 0 || b.pick(trial, now).inflight > 0) {
+		b.giveUp(inv)
+		return
+	}
 	pool := earlier
-	if trial.size() > 0 && (earlier.size() == 0 || len(inv.sent) == 0 && b.draw(inv) < b.share) {
+	if trial.size() > 0 && (earlier.size() == 0 || first && (inv.spare || b.draw(inv) < b.share)) {
 		pool = trial
 	}
 	if pool.size() == 0 {
@@ -533,6 +538,11 @@
 			b.calm += (out/max(living, 1) - b.calm) * 0.1
 		}
 		b.turned = false
+		if b.misses < b.missesUsual+strained {
+			b.paceUsual, b.sags = b.paceUsual+(b.pace-b.paceUsual)*0.1, 0
+		} else if b.pace < sagged*b.paceUsual && !b.crowd() { // one of many may just be behind a slow link
+			b.sags++
+		}
 		b.jam *= 0.97                 // forgotten bit by bit, by those too that answer next to nothing
 		for _, late := range b.late { // so that a zone is tried again
 			*late *= 0.98
@@ -645,22 +655,27 @@
 	}
 	standing := b.vote == Back && b.voteVer == b.ver && now < b.voteUntil
 	calm := b.strainSince == now && b.slowBy < slowed
+	// Trouble older than the build is not its own: what it does itself speaks for it. It guards against one bad
+	// build that is kept by the trouble it makes; it may hurt when the next one is no better.
+	older := !b.crowd() && b.metAt < now && b.strainSince < b.metAt && n >= leastJudge && worse < 0.5
+	under := b.strainSince > b.metAt && b.strainSince < b.stageSince+2*blindAfter // begins with a stage
 	switch {
 	case n >= leastJudge && worse >= confidence:
 		b.cast(Back, now, fmt.Sprintf("trails in success, %v of %v failed", bad, n))
 	case b.phase == OnTrial && b.heavier(now) >= heavy: // later the list may name earlier nodes long gone
 		b.cast(Back, now, "needs more work")
-	case now-b.strainSince >= strainFor && b.strainSince > b.metAt && b.slowBy >= slowed &&
-		b.strainSince < b.stageSince+2*blindAfter: // a build's begins with a stage, not long after its release
+	case now-b.strainSince >= strainFor && under && b.slowBy >= slowed:
 		b.cast(Back, now, "long trouble under it")
+	case under && b.sags >= sagsBack: // a burst has more answered; it may strike where many nodes are lost
+		b.cast(Back, now, "the fleet answers less under it")
 	case b.set.text("rollout.gate-mode", "") == "clock":
 		if n >= leastJudge && bad > 0 && worse > 0.5 {
 			b.cast(Hold, now, "may trail")
 		}
 	case b.phase != OnTrial:
-	case n >= leastJudge && fine >= confidence:
+	case n >= leastJudge && fine >= confidence && (b.sags == 0 || !under): // slow alike is no keeping up
 		b.cast(On, now, "keeps up")
-	case now-b.stageSince >= blindAfter && !standing && calm && b.seen(now):
+	case now-b.stageSince >= blindAfter && !standing && (calm || older) && b.seen(now):
 		b.cast(On, now, "no verdict")
 	}
 }
--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -355,7 +355,7 @@
 	// 107000  vote on on build 2 at stage 0
 	// 1 times
 	// 130000  vote back on build 2 at stage 0
-	// 149000  vote back on build 2 at stage 0
+	// 152500  vote back on build 2 at stage 0
 	// 3 times
 }
 
@@ -604,3 +604,77 @@
 	// 106500  vote back on build 2 at stage 1
 	// at every node: false
 }
+
+// queue has an invocation arrive every so many ms for a while, and the oldest dispatch answered every so many.
+func (s *stand) queue(name string, lasts, every, answers float64) {
+	var open []string
+	from, n := s.now, 0.0
+	for s.mute = true; s.now < from+lasts; s.until(s.now + 10) {
+		for ; n*every <= s.now-from; n++ {
+			inv := fmt.Sprint(name, n)
+			if s.arrive(inv); s.sent[inv] > 0 {
+				open = append(open, inv)
+			}
+		}
+		if len(open) > 0 && int(s.now-from)%int(answers) == 0 {
+			s.end(open[0], Succeeded)
+			open = open[1:]
+		}
+	}
+	for _, inv := range open {
+		s.end(inv, Succeeded)
+	}
+	s.mute = false
+}
+
+// A build under which the fleet answers less goes back, though both builds are slow alike; not so in a burst, in which
+// more comes and no less is answered, nor in trouble that began before the build.
+func Example_fleetSags() {
+	for _, what := range []string{"the fleet sags", "a burst", "it sagged before"} {
+		s := begin("idempotent", Settings{"rollout.stage-share": []float64{0.1, 1, 1}})
+		s.queue("w", 10000, 20, 20)
+		if what == "it sagged before" {
+			s.queue("v", 3000, 20, 100)
+		}
+		s.trial(6000)
+		switch what {
+		case "the fleet sags":
+			s.queue("x", 1000, 20, 20)
+			s.queue("y", 6000, 20, 100)
+		case "a burst":
+			s.queue("x", 1000, 20, 20)
+			s.queue("y", 6000, 10, 20)
+		default:
+			s.queue("y", 6000, 20, 100)
+		}
+		fmt.Println(what)
+	}
+	// Output:
+	// 113500  vote back on build 2 at stage 0
+	// the fleet sags
+	// 112000  vote on on build 2 at stage 0
+	// a burst
+	// 118500  vote on on build 2 at stage 0
+	// it sagged before
+}
+
+// While the fleet is overloaded, what would be turned away tries a trial node that has nothing to do.
+func Example_idleTrialNode() {
+	s := begin("idempotent", Settings{"rollout.most-shares": []float64{1}})
+	s.serve(200, "w", well)
+	s.b.Listed(false, []Node{{ID: 9, Ver: 2, Size: 1}})
+	s.b.Staged(2, 0, OnTrial, 0.1, 0, false)
+	s.mute = true
+	for i := range 30 {
+		s.arrive(fmt.Sprint("x", i))
+	}
+	on9 := 0
+	for _, n := range s.where {
+		if n == 9 {
+			on9++
+		}
+	}
+	fmt.Println("sent", len(s.where)-200, "to the trial node", on9)
+	// Output:
+	// sent 16 to the trial node 1
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -111,6 +111,7 @@
 	seenOf              []float64 // and of how many answers it is
 	ends                sliding   // those that have, lately
 	pace                float64   // and how many a ms
+	paceUsual, sags     float64   // the same in untroubled times, and the intervals of late in which it sagged
 	calm                float64   // what was out at a node while nothing was turned away
 	slo, usualCost      float64   // the mean SLO time and cost of what arrives
 	arrived             float64
@@ -144,6 +145,7 @@
 	cost     float64
 	sent     []dispatch
 	finished bool
+	spare    bool // it goes to the build on trial instead of being turned away
 }
 
 // node lives as long as the instance knows its id; it starts over when its process does.
--- a/internal/platform/conveyor.go
+++ b/internal/platform/conveyor.go
@@ -60,6 +60,7 @@
 	if j.Get("type").Str != "ROLLOUT" { // a sign of life, or news of what a marshal has no use for
 		return nil
 	}
+	c.Log.Debug("news", "object", j.Get("object").Raw)
 	return staged(j.Get("object"), false, c.Staged)
 }
 
