The bound on what is out counts what was answered, not what was given up

Lines: closed() added every ending that may have run to b.ends, those given up too, and Woke made the pace of it, by which overloaded() sets the bound: each cancel made room for the next dispatch.

Change: the bound goes by answers; the sagging of a fleet goes by all endings as before. The word that a node drains now comes to the connections with its grace: the setting's name was misread, found by TestConfiguration.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -125,7 +125,6 @@
 		b.giveUp(inv)
 		return
 	}
-
 	// Which nodes may have it: the list, the repeat rules, the cold nodes' budget, the cap.
 	trial, earlier, known := b.known(inv, now)
 	if !known { // what the index has no answer to
@@ -532,15 +531,16 @@
 	switch handle {
 	case wakeInterval:
 		b.h.Wake(interval, wakeInterval)
-		b.pace = b.ends.since(b.h.Now()-2*interval) / (2 * interval)
+		lately := b.h.Now() - 2*interval // what was given up is no pace: more would go out, and more be given up
+		b.pace, b.flow = b.answers.since(lately)/(2*interval), b.ends.since(lately)/(2*interval)
 		if !b.turned {
 			out, living := b.living(b.h.Now())
 			b.calm += (out/max(living, 1) - b.calm) * 0.1
 		}
 		b.turned = false
 		if b.misses < b.missesUsual+strained {
-			b.paceUsual, b.sags = b.paceUsual+(b.pace-b.paceUsual)*0.1, 0
-		} else if b.pace < sagged*b.paceUsual && !b.crowd() { // one of many may just be behind a slow link
+			b.flowUsual, b.sags = b.flowUsual+(b.flow-b.flowUsual)*0.1, 0
+		} else if b.flow < sagged*b.flowUsual && !b.crowd() { // one of many may just be behind a slow link
 			b.sags++
 		}
 		b.jam *= 0.97                 // forgotten bit by bit, by those too that answer next to nothing
--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -658,6 +658,28 @@
 	// it sagged before
 }
 
+// What is given up does not widen the bound on what is out: a fleet that answers nothing gets no more for it.
+func Example_givenUpIsNoPace() {
+	s := begin("idempotent", nil)
+	s.queue("w", 10000, 20, 20)
+	for _, how := range []Ending{Succeeded, TimedOut} {
+		s.mute = true
+		for i := range 100 {
+			inv := fmt.Sprint(how, "-", i)
+			if s.arrive(inv); s.sent[inv] > 0 {
+				s.b.Ended(inv, 0, s.where[inv], how, 900, true, nil)
+			}
+			s.until(s.now + 10)
+		}
+		s.mute = false
+		s.until(s.now + 400)
+		fmt.Printf("%.3f answered a ms, %.3f ended\n", s.b.pace, s.b.flow)
+	}
+	// Output:
+	// 0.100 answered a ms, 0.100 ended
+	// 0.000 answered a ms, 0.090 ended
+}
+
 // While the fleet is overloaded, what would be turned away tries a trial node that has nothing to do.
 func Example_idleTrialNode() {
 	s := begin("idempotent", Settings{"rollout.most-shares": []float64{1}})
--- a/balance/state.go
+++ b/balance/state.go
@@ -109,9 +109,10 @@
 	looked, stalled     float64   // when the last look was, and the last that came late
 	recent              []float64 // latency of each operation on the whole fleet
 	seenOf              []float64 // and of how many answers it is
-	ends                sliding   // those that have, lately
-	pace                float64   // and how many a ms
-	paceUsual, sags     float64   // the same in untroubled times, and the intervals of late in which it sagged
+	ends, answers       sliding   // those that have, lately, and of them those that were answered
+	pace                float64   // and how many a ms were
+	flow, flowUsual     float64   // how many have a ms, now and in untroubled times
+	sags                float64   // the intervals of late in which that sagged
 	calm                float64   // what was out at a node while nothing was turned away
 	slo, usualCost      float64   // the mean SLO time and cost of what arrives
 	arrived             float64
@@ -343,6 +344,9 @@
 		b.index.out--
 	}
 	n.open = slices.DeleteFunc(n.open, func(o opening) bool { return o.inv == inv && o.no == no })
+	if how == Succeeded || how == Failed {
+		b.answers.add(now, 1)
+	}
 	if d.ran {
 		b.ends.add(now, 1)
 		if d.ver == b.ver {
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -126,7 +126,7 @@
 		Times: &settings.Times{HeaderMs: firstMs, BodyMs: firstMs, WriteMs: 1000, IdleMs: idleMs, DialMs: num("limits.dial-timeout-ms"),
 			NodeIdleMs: num("limits.conn-idle-ms") * 0.9, AnswerMs: 5},
 		Roster: &settings.Roster{}, Conveyor: &settings.Conveyor{}, Record: &settings.Record{},
-		Rules:   &settings.Rules{GraceMs: num("rules.stop-sending-ms")},
+		Rules:   &settings.Rules{GraceMs: num("rules.stop-sending-within-ms")},
 		Rollout: &settings.Rollout{VoteTimeoutMs: num("rollout.api-timeout-ms")},
 		Log:     &settings.Log{Level: "warn", Form: "text"},
 	}
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,331 @@
+package platform
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/textproto"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"arrowcleat/balance"
+	"arrowcleat/internal/h1"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// text is a configuration as the platform gives one, with the addresses left open: own, discovery, release API, datagrams.
+const text = `{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+"limits":{"cores":0.5,"memory_mb":64,"sockets":256},"peer_listen":%q,"peers":["127.0.0.1:1"],"peers_all":"127.0.0.1:2",
+"release_api":{"address":%q,"news":{"Revision":7,"Wave":1,"State":"live","MaxShare":1,"AgeMs":90000}},
+"known":{"seq":3,"whole":true,"hosts":[]},
+"settings":{"balancers":1,"me":0,"locality":1,"zones":["here","there"],"models":["m1","m2"],"discovery":"automatic",
+"limits":{"most-tries":3,"may-tell":true,"conn-idle-s":30.0,"dial-timeout-s":0.25},
+"rules":{"stop-sending-within-s":0.5,"warm-up-s":3.0},"domain":{"api-timeout-s":0.3,"api-rate":5.0,"vote-ttl-s":4.0,
+"most-shares":[0.1,1.0],"stage-share":[0.1,1.0],"counted-over-s":4.0,"allowance":3.0,"cap-scope":"all","gate-mode":"first_voice"},
+"request-classes":[{"name":"look","aim-s":0.4,"deadline-s":1.0,"repeat":"free"},
+{"name":"book","aim-s":0.4,"deadline-s":0.8,"repeat":"guarded","group":"zone","window-s":8.0}],
+"tenants":[{"name":"acme","quota-per-s":10.0},{"name":"zenith","quota-per-s":10.0}]}}`
+
+func config(t *testing.T, listen, discovery, datagrams, api string) *Config {
+	t.Helper()
+	c, err := parse(fmt.Sprintf(text, listen, discovery, datagrams, api))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func TestConfiguration(t *testing.T) {
+	good := fmt.Sprintf(text, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4")
+	c, err := parse(good)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := c.Set
+	if s.Instance.Zone != "there" || s.Operation[1].LimitMs != 800 || s.Times.DialMs != 250 || s.Rules.GraceMs != 500 ||
+		s.Seed != 0x8c1f30d27a5be964 || s.Times.StopMs != 1700 || c.Module["rollout.api-timeout-ms"] != 300.0 ||
+		c.Module["operations"].([]balance.Settings)[1]["repeat"] != "fingerprinted" {
+		t.Errorf("read otherwise than told: %v, module %v", s, c.Module)
+	}
+	for change, want := range map[[2]string]string{
+		{`"listen":"127.0.0.1:1",`, ``}:             "listen: missing",
+		{`"8c1f30d27a5be964"`, `"xyz"`}:             `seed: "xyz"`,
+		{`"sockets":256`, `"sockets":"many"`}:       "limits.sockets: not of the type Number",
+		{`"locality":1`, `"locality":2`}:            "the own zone, 2, is none of 2",
+		{`"repeat":"free"`, `"repeat":"perhaps"`}:   `operation "look"`,
+		{`"address":"127.0.0.1:4"`, `"address":""`}: "no host:port",
+		{`{"name":"n0"`, `"name":"n0"`}:             "not valid JSON",
+	} {
+		if _, err := parse(strings.Replace(good, change[0], change[1], 1)); err == nil || !strings.Contains(err.Error(), want) ||
+			strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q for %q: %v; want %q", change[1], change[0], err, want)
+		}
+	}
+}
+
+// What nodes could not use, and what could be read in two ways, is turned away; a good head is read as it stands.
+func TestHeads(t *testing.T) {
+	c := config(t, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4")
+	good := func() *h1.Head {
+		return &h1.Head{Method: "POST", Target: "/book/now?x=1", Length: 3, Header: textproto.MIMEHeader{"X-Trace-Id": {"9b1f"},
+			"X-Qos": {"book"}, "X-Customer": {"zenith"}, "X-Object": {"o1"}, "X-Expires-In-Ms": {"480"}, "Idempotency-Key": {"k"},
+			"X-Size-Hint": {"2500"}, "X-Second-Try": {"1"}, "X-Props": {"a=2,write=1"}}}
+	}
+	a, err := c.asked(good())
+	if got := fmt.Sprint(a, err); got != "{1 1 o1 9b1f 480 2.5 true true} <nil>" {
+		t.Error(got)
+	}
+	for what, spoil := range map[string]func(*h1.Head){
+		"no id":          func(h *h1.Head) { delete(h.Header, "X-Trace-Id") },
+		"two ids":        func(h *h1.Head) { h.Header["X-Trace-Id"] = []string{"a", "b"} },
+		"an odd id":      func(h *h1.Head) { h.Header["X-Trace-Id"] = []string{"a b"} },
+		"no operation":   func(h *h1.Head) { h.Header["X-Qos"] = []string{"steal"} },
+		"two operations": func(h *h1.Head) { h.Target = "/look" },
+		"method":         func(h *h1.Head) { h.Method = "GET" },
+		"no mark":        func(h *h1.Head) { delete(h.Header, "Idempotency-Key") },
+		"no number":      func(h *h1.Head) { h.Header["X-Expires-In-Ms"] = []string{"soon"} },
+		"negative":       func(h *h1.Head) { h.Header["X-Expires-In-Ms"] = []string{"-4"} },
+		"decimal":        func(h *h1.Head) { h.Header["X-Expires-In-Ms"] = []string{"4.5"} },
+		"GET with body":  func(h *h1.Head) { h.Method, h.Target, h.Header["X-Qos"] = "GET", "/look", []string{"look"} },
+	} {
+		h := good()
+		spoil(h)
+		if _, err := c.asked(h); err == nil {
+			t.Errorf("%s was taken", what)
+		}
+	}
+}
+
+// surroundings are stand-ins of the platform on loopback.
+type surroundings struct {
+	api, discovery, moved *httptest.Server
+	mu                    sync.Mutex
+	nodes                 []net.Listener
+	votes, followed       int
+	vote                  func(n int, w http.ResponseWriter)
+}
+
+func (s *surroundings) list(seq int) string {
+	var hosts []string
+	for i, n := range s.nodes {
+		hosts = append(hosts, fmt.Sprintf(`{"host":"s-%d","dial":%q,"site":"there","class":"m2","block":0,"health":"in_service","share":1,"born_ms":0,"build":7}`, i, n.Addr()))
+	}
+	return fmt.Sprintf(`{"seq":%d,"whole":true,"hosts":[%s]}`+"\n", seq, strings.Join(hosts, ","))
+}
+
+// surround starts discovery, which names a node for each play, and the release API.
+func surround(t *testing.T, plays ...func(net.Conn, *bufio.Reader)) *surroundings {
+	s := &surroundings{}
+	for _, play := range plays {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { ln.Close() })
+		s.nodes = append(s.nodes, ln)
+		go func() {
+			for {
+				nc, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer nc.Close()
+					nc.SetDeadline(time.Now().Add(10 * time.Second))
+					r := bufio.NewReader(nc)
+					for {
+						q, err := http.ReadRequest(r)
+						if err != nil {
+							return
+						}
+						io.Copy(io.Discard, q.Body)
+						play(nc, r)
+					}
+				}()
+			}
+		}()
+	}
+	follow := func(line string) http.HandlerFunc {
+		return func(w http.ResponseWriter, q *http.Request) {
+			s.mu.Lock()
+			s.followed++
+			s.mu.Unlock()
+			io.WriteString(w, line)
+			w.(http.Flusher).Flush()
+			<-q.Context().Done()
+		}
+	}
+	s.discovery, s.moved = httptest.NewServer(follow(s.list(4))), httptest.NewServer(follow(s.list(5)))
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+apiBase+"/events", follow(`{"type":"ROLLOUT","object":{"Revision":7,"Wave":1,"State":"live","MaxShare":1,"AgeMs":5}}`+"\n{}\n"))
+	mux.HandleFunc("POST "+apiBase+"/votes", func(w http.ResponseWriter, q *http.Request) {
+		s.mu.Lock()
+		s.votes++
+		n := s.votes
+		s.mu.Unlock()
+		s.vote(n, w)
+	})
+	s.api = httptest.NewServer(mux)
+	for _, server := range []*httptest.Server{s.discovery, s.moved, s.api} {
+		t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	}
+	return s
+}
+
+func at(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+
+func run(t *testing.T, s *surroundings) (*Marshal, *Config) {
+	c := config(t, "127.0.0.1:0", at(s.discovery), "127.0.0.1:0", at(s.api))
+	m, err := Start(c, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { m.End() })
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if r, _ := m.Look(); len(r.Nodes) == len(s.nodes) {
+			return m, c
+		}
+	}
+	t.Fatal("the list did not arrive")
+	return nil, nil
+}
+
+func ask(t *testing.T, m *Marshal, id string) (status int, body string, err error) {
+	nc, err := net.Dial("tcp", m.Address())
+	if err != nil {
+		return 0, "", err
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(3 * time.Second))
+	fmt.Fprintf(nc, "GET /look HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %s\r\nX-Qos: look\r\nX-Expires-In-Ms: 600\r\n\r\n", id)
+	r, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		return 0, "", err
+	}
+	b, err := io.ReadAll(r.Body)
+	return r.StatusCode, string(b), err
+}
+
+func say(text string) func(net.Conn, *bufio.Reader) {
+	return func(nc net.Conn, _ *bufio.Reader) { io.WriteString(nc, text) }
+}
+
+const fine = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"
+
+// Whatever a node sends in place of an answer, the client gets the other node's, or is told that there is none; what
+// is more than the answer is never the next one.
+func TestSpoiltAnswers(t *testing.T) {
+	for name, spoilt := range map[string]string{
+		"noise":       "\x00\x01\x02 noise\r\n\r\n",
+		"endless":     "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("y", 40000),
+		"3 GB":        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxxx",
+		"two lengths": "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 9\r\n\r\nxxxx",
+		"not for it":  "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
+		"twice":       fine + strings.Replace(fine, "fine", "more", 1),
+		"ahead":       "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + fine,
+		"odd report":  strings.Replace(fine, "\r\n", "\r\nEndpoint-Load-Metrics: TEXT queue=much,,=\r\n", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			m, _ := run(t, surround(t, say(spoilt), say(fine)))
+			for i := range 6 {
+				status, body, err := ask(t, m, fmt.Sprint("id", i))
+				if err != nil || status != 200 || body != "fine" {
+					t.Errorf("request %d: %d %q %v", i, status, body, err)
+				}
+			}
+		})
+	}
+}
+
+// A vote's answer that can't be read leaves it open; one that can says what became of it.
+func TestVotes(t *testing.T) {
+	s := surround(t)
+	reply := func(status int, body string) func(http.ResponseWriter) {
+		return func(w http.ResponseWriter) { w.WriteHeader(status); io.WriteString(w, body) }
+	}
+	state := `{"Revision":7,"Wave":1,"State":"testing","MaxShare":0.28,"AgeMs":310}`
+	cases := []struct {
+		reply func(http.ResponseWriter)
+		want  balance.Ending
+	}{
+		{reply(200, state), balance.Succeeded},
+		{reply(200, state[:30]), balance.TimedOut},
+		{reply(200, strings.Replace(state, "testing", "t?st!ng", 1)), balance.TimedOut},
+		{reply(429, `{"error":"BUSY"}`), balance.Full},
+		{reply(409, `{"error":"STALE"}`), balance.Ignored},
+		{reply(500, `{"error":"FAILED"}`), balance.Failed},
+		{reply(409, `{"error":"#!*"}`), balance.TimedOut},
+		{func(http.ResponseWriter) { time.Sleep(400 * time.Millisecond) }, balance.TimedOut},
+		{func(http.ResponseWriter) { panic(http.ErrAbortHandler) }, balance.TimedOut},
+	}
+	s.vote = func(n int, w http.ResponseWriter) { cases[n-1].reply(w) }
+	told := 0
+	c := &Conveyor{place: place{address: at(s.api)}, Patience: 300 * time.Millisecond, Log: slog.New(slog.DiscardHandler),
+		Staged: func(ver, stage int, phase balance.Phase, cap, age float64, reply bool) {
+			if told++; ver != 7 || stage != 1 || phase != balance.OnTrial || cap != 0.28 || age != 310 || !reply {
+				t.Error("told", ver, stage, phase, cap, age, reply)
+			}
+		}}
+	for i, x := range cases {
+		if got := c.vote(7, 1, balance.On); got != x.want {
+			t.Errorf("vote %d: %v, want %v", i, got, x.want)
+		}
+	}
+	if told != 1 {
+		t.Errorf("told %d times", told)
+	}
+	c.Move("127.0.0.1:1")
+	if got := c.vote(7, 1, balance.On); got != balance.NoConnect {
+		t.Errorf("where nobody listens: %v", got)
+	}
+}
+
+// New addresses are followed at once; a marshal that leaves serves what comes for a while, ends its connections with
+// their next answer, and then ends.
+func TestMoveAndLeave(t *testing.T) {
+	s := surround(t, say(fine))
+	m, c := run(t, s)
+	next := *c
+	next.Discovery = at(s.moved)
+	s.mu.Lock()
+	before := s.followed
+	s.mu.Unlock()
+	m.Move(&next)
+	for end := time.Now().Add(2 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		s.mu.Lock()
+		moved := s.followed > before
+		s.mu.Unlock()
+		if moved {
+			break
+		} else if time.Now().After(end) {
+			t.Fatal("the new address is not followed")
+		}
+	}
+	left := make(chan error)
+	go func() { left <- m.Leave() }()
+	time.Sleep(200 * time.Millisecond)
+	if status, body, err := ask(t, m, "late"); status != 200 || body != "fine" || err != nil {
+		t.Errorf("while it leaves: %d %q %v", status, body, err)
+	}
+	select {
+	case err := <-left:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(3 * time.Second):
+		t.Fatal("it did not end")
+	}
+	if _, _, err := ask(t, m, "too late"); err == nil || errors.Is(err, io.EOF) {
+		t.Errorf("after its end: %v", err)
+	}
+}
