Lost nodes that are all an earlier build has left do not keep its invocations

Possibilities: connections refused for want of descriptors (excluded: 233 of 384); addresses read wrong (excluded: the same nodes had answered before); the list is late (true, and the platform's right: two nodes had crashed and were listed on). Lines: all other nodes of the earlier build drained, so send() took these two for it whenever the draw was not for the trial build, and on every further try; healthy() fails open where none is well, and the check for a busy trial node sent back there what had been drawn for the trial build.

Change: where the pick is sick and not due for its test, a trial node is taken if the cap allows; a shunned node takes nothing over. The flow that is due of a fleet is less while nodes are cold.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -119,15 +119,13 @@
 
 // send is the ordinary path of an invocation, from the choice of its build to its dispatch.
 func (b *Balancer) send(inv *invocation) { // nothing of it is out: two copies at once are not made use of
-	now := b.h.Now()
-	left := inv.due - now
+	now, left := b.h.Now(), inv.due-b.h.Now()
 	if left <= margin || len(inv.sent) >= b.fix.mostTries {
 		b.giveUp(inv)
 		return
 	}
-	// Which nodes may have it: the list, the repeat rules, the cold nodes' budget, the cap.
-	trial, earlier, known := b.known(inv, now)
-	if !known { // what the index has no answer to
+	trial, earlier, known := b.known(inv, now) // by list, repeat rules, the cold nodes' budget and the cap
+	if !known {
 		trial.some, earlier.some = b.room[0][:0], b.room[1][:0]
 		bound, seen, tried, exposes := max(b.floor, b.bound[inv.key]), -1, false, false
 		for _, n := range b.order {
@@ -167,17 +165,18 @@
 		pool.some = fresh
 	}
 	n := b.pick(pool, now)
+	if trial.size() > 0 && b.shunned(n, now) { // all that is left of the earlier build may be lost nodes
+		n = b.pick(trial, now)
+	}
 	if b.onTrial(n.Ver) && earlier.size() > 0 { // a busy trial node judges the share, not the build
-		if e := b.pick(earlier, now); b.load(n, now) > spillAt*b.load(e, now)+1 {
+		if e := b.pick(earlier, now); b.load(n, now) > spillAt*b.load(e, now)+1 && !b.shunned(e, now) {
 			n = e
 		}
 	}
-
 	if b.sick(n) {
 		n.retest = now + n.penalty
 	}
-	b.opened(inv, dispatch{to: n, ver: n.Ver, sent: now, young: b.young(n, now), short: left < b.sloOf(inv.op),
-		open: true, ran: true})
+	b.opened(inv, dispatch{to: n, ver: n.Ver, sent: now, young: b.young(n, now), short: left < b.sloOf(inv.op)})
 	b.h.Dispatch(inv.id, n.ID, left)
 }
 
@@ -196,10 +195,8 @@
 func (b *Balancer) mayFollow(inv *invocation, n *node, now float64) bool {
 	op := &b.ops[inv.op]
 	for _, d := range inv.sent {
-		if !d.ran || op.repeat == "idempotent" {
-			continue
-		}
-		if op.repeat != "fingerprinted" || now >= d.sent+op.memory || !n.groupedWith(d.to, op.group) {
+		if d.ran && op.repeat != "idempotent" && (op.repeat != "fingerprinted" || now >= d.sent+op.memory ||
+			!n.groupedWith(d.to, op.group)) {
 			return false
 		}
 	}
@@ -301,7 +298,7 @@
 
 // healthy leaves out nodes that fail more than the fleet's median or do not answer; it fails open.
 func (b *Balancer) healthy(from pool, now float64) pool {
-	well := b.but(2, from, func(n *node) bool { return b.sick(n) && now < n.retest || b.silent(n, now) })
+	well := b.but(2, from, func(n *node) bool { return b.shunned(n, now) || b.silent(n, now) })
 	if well.size()*3 < from.size() {
 		return from
 	}
@@ -310,6 +307,8 @@
 
 func (b *Balancer) sick(n *node) bool { return n.failing() > b.median+sickBy }
 
+func (b *Balancer) shunned(n *node, now float64) bool { return b.sick(n) && now < n.retest }
+
 // silent says that a node that lives would have answered something by now: the chance that it has not falls
 // with the sum of the waits at it. It guards against striking living nodes where a marshal has a trickle out.
 func (b *Balancer) silent(n *node, now float64) bool {
@@ -531,8 +530,8 @@
 	switch handle {
 	case wakeInterval:
 		b.h.Wake(interval, wakeInterval)
-		lately := b.h.Now() - 2*interval // what was given up is no pace: more would go out, and more be given up
-		b.pace, b.flow = b.answers.since(lately)/(2*interval), b.ends.since(lately)/(2*interval)
+		b.flow, b.pace = b.ends.since(b.h.Now()-2*interval), b.answers.since(b.h.Now()-2*interval)/(2*interval)
+		due := sagged * b.flowUsual * b.capacity(b.h.Now(), every) / max(b.serving(every), 1)
 		if !b.turned {
 			out, living := b.living(b.h.Now())
 			b.calm += (out/max(living, 1) - b.calm) * 0.1
@@ -540,7 +539,7 @@
 		b.turned = false
 		if b.misses < b.missesUsual+strained {
 			b.flowUsual, b.sags = b.flowUsual+(b.flow-b.flowUsual)*0.1, 0
-		} else if b.flow < sagged*b.flowUsual && !b.crowd() { // one of many may just be behind a slow link
+		} else if b.flow < due && !b.crowd() { // one of many may just be behind a slow link; cold nodes owe less
 			b.sags++
 		}
 		b.jam *= 0.97                 // forgotten bit by bit, by those too that answer next to nothing
--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -673,11 +673,35 @@
 		}
 		s.mute = false
 		s.until(s.now + 400)
-		fmt.Printf("%.3f answered a ms, %.3f ended\n", s.b.pace, s.b.flow)
+		fmt.Printf("%.3f answered a ms, %.0f ended a second\n", s.b.pace, s.b.flow)
 	}
 	// Output:
-	// 0.100 answered a ms, 0.100 ended
-	// 0.000 answered a ms, 0.090 ended
+	// 0.100 answered a ms, 100 ended a second
+	// 0.000 answered a ms, 90 ended a second
+}
+
+// Where lost nodes, still listed as serving, are all that is left of the earlier build, the build on trial takes what
+// its cap allows.
+func Example_lostNodesLeft() {
+	s := begin("idempotent", nil)
+	s.serve(200, "w", well)
+	s.b.Listed(true, []Node{{ID: 1, Ver: 1, Size: 1}, {ID: 2, Ver: 1, Size: 1}, {ID: 9, Ver: 2, Size: 1}, {ID: 10, Ver: 2, Size: 1}})
+	s.b.Staged(2, 1, OnTrial, 1, 0, false)
+	lost, served := 0, 0
+	for i := range 300 {
+		s.serve(1, fmt.Sprint("x", i, "-"), func(node uint32) Ending {
+			if node < 9 {
+				lost++
+				return NoConnect
+			}
+			served++
+			return Succeeded
+		})
+	}
+	fmt.Println("served", served, "of 300, sent to lost nodes", lost)
+	// Output:
+	// 105000  vote on on build 2 at stage 1
+	// served 297 of 300, sent to lost nodes 12
 }
 
 // While the fleet is overloaded, what would be turned away tries a trial node that has nothing to do.
--- a/balance/state.go
+++ b/balance/state.go
@@ -111,7 +111,7 @@
 	seenOf              []float64 // and of how many answers it is
 	ends, answers       sliding   // those that have, lately, and of them those that were answered
 	pace                float64   // and how many a ms were
-	flow, flowUsual     float64   // how many have a ms, now and in untroubled times
+	flow, flowUsual     float64   // how many have in a second, now and in untroubled times
 	sags                float64   // the intervals of late in which that sagged
 	calm                float64   // what was out at a node while nothing was turned away
 	slo, usualCost      float64   // the mean SLO time and cost of what arrives
@@ -316,6 +316,7 @@
 // opened records a dispatch that goes out.
 func (b *Balancer) opened(inv *invocation, d dispatch) {
 	n := d.to
+	d.open, d.ran = true, true
 	inv.sent = append(inv.sent, d)
 	n.inflight++
 	n.open = append(n.open, opening{inv, len(inv.sent) - 1})
