Connections turned away in a flood hold no descriptor while they wait

Possibilities: connections to nodes (excluded: counted from their dial on, 540 a marshal); clients' connections (excluded: bounded at 480); what the bound turns away. Lines: front.accept gave each of those a goroutine of its own, and on one processor the accepting one runs on while they wait, each with a descriptor.

Change: beyond eight at a time they are answered and closed where they are accepted, and what their clients have sent is read first, so that the close does not reset the answer.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -147,6 +147,27 @@
 	return unread && err == nil
 }
 
+// Drain reads what has come on a connection without waiting: closing it with something unread would reset it, and the
+// other side might lose what was written last.
+func Drain(nc net.Conn) {
+	t, ok := nc.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return
+	}
+	raw.Control(func(fd uintptr) {
+		var b [4096]byte
+		for range 16 {
+			if n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_DONTWAIT); n <= 0 || err != nil {
+				return
+			}
+		}
+	})
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	if !c.closed.Swap(true) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -156,14 +156,7 @@
 	s.Counts.Connections.Add(1)
 	if full {
 		s.Counts.TurnedAway.Add(1)
-		go func() {
-			c.plain(503, NotTaken, "too many connections", true)
-			if s.parting.Add(1) <= mostParting {
-				c.linger()
-			}
-			s.parting.Add(-1)
-			c.nc.Close()
-		}()
+		c.turnAway()
 		return
 	}
 	s.wg.Add(2)
@@ -181,6 +174,29 @@
 
 func (s *Server) Change(set *settings.Settings) { s.now.Store(set) }
 
+// turnAway refuses a connection that there is no room for. In a flood it does so on the goroutine that accepts: else
+// hundreds would hold a descriptor each until their own goroutines have had their turn.
+func (c *conn) turnAway() {
+	s := c.s
+	part := func(linger bool) {
+		c.plain(503, NotTaken, "too many connections", true)
+		if linger {
+			c.linger()
+		}
+		back.Drain(c.nc)
+		c.nc.Close()
+	}
+	if s.parting.Add(1) > mostParting {
+		part(false)
+		s.parting.Add(-1)
+		return
+	}
+	go func() {
+		part(true)
+		s.parting.Add(-1)
+	}()
+}
+
 // yield has a connection give way to a new one; s.mu is held. It says whether one does.
 func (s *Server) yield() bool {
 	now := int64(s.Clock.Now())
