--- a/internal/platform/conveyor.go
+++ b/internal/platform/conveyor.go
@@ -47,18 +47,9 @@
 }
 
 func (c *Conveyor) line(text []byte) error {
-	if len(text) == 0 {
-		return nil
-	}
-	if !gjson.ValidBytes(text) {
-		return fmt.Errorf("release API: not valid JSON: %.80q", text)
-	}
-	j := gjson.ParseBytes(text)
-	if !j.IsObject() {
-		return fmt.Errorf("release API: no object: %.80q", text)
-	}
-	if j.Get("type").Str != "ROLLOUT" { // a sign of life, or news of what a marshal has no use for
-		return nil
+	j, err := object("release API", text)
+	if err != nil || j.Get("type").Str != "ROLLOUT" { // a sign of life, or news of what a marshal has no use for
+		return err
 	}
 	c.Log.Debug("news", "object", j.Get("object").Raw)
 	return staged(j.Get("object"), false, c.Staged)
--- a/internal/platform/roster.go
+++ b/internal/platform/roster.go
@@ -26,6 +26,17 @@
 	waitMost    = 500 * time.Millisecond
 )
 
+// object reads a line of a stream, which is a JSON object or, as a sign of life, empty.
+func object(from string, text []byte) (j gjson.Result, err error) {
+	if len(text) == 0 {
+		return j, nil
+	}
+	if j = gjson.ParseBytes(text); !gjson.ValidBytes(text) || !j.IsObject() {
+		return j, fmt.Errorf("%s: no JSON object: %.80q", from, text)
+	}
+	return j, nil
+}
+
 // place is an address that can change while a session with it is kept.
 type place struct {
 	mu      sync.Mutex
@@ -148,13 +159,10 @@
 }
 
 func (r *Roster) line(text []byte) error {
-	if len(text) == 0 {
-		return nil
-	}
-	if !gjson.ValidBytes(text) {
-		return fmt.Errorf("discovery: not valid JSON: %.80q", text)
+	j, err := object("discovery", text)
+	if err != nil || len(text) == 0 {
+		return err
 	}
-	j := gjson.ParseBytes(text)
 	lines, err := r.read.lines(j)
 	if err != nil {
 		return fmt.Errorf("discovery: %w", err)
