--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -30,7 +30,7 @@
 	m := &Marshal{}
 	hooks := serve.Hooks{
 		Ways: &serve.Ways{
-			Terms:    front.Terms{Read: c.asked, Health: "/healthz", MostBody: mostBody, FirstMs: firstMs, ComeBack: comeBack, Quiet: true},
+			Terms:    front.Terms{Read: c.asked, Health: "/healthz", MostBody: mostBody, FirstMs: firstMs, ComeBack: c.comeBack, Quiet: true},
 			Settings: c.Module,
 			Known:    known,
 			Strict:   true,
@@ -59,8 +59,11 @@
 	return m, err
 }
 
-// comeBack says when to come back, in seconds with decimals.
-func comeBack(ms float64) (field, value string) {
+// comeBack says when to come back, in seconds with decimals, within what the settings allow.
+func (c *Config) comeBack(ms float64) (field, value string) {
+	if most, ok := c.Module["limits.max-retry-after-ms"].(float64); ok {
+		ms = min(ms, most)
+	}
 	return "Retry-After", strconv.FormatFloat(ms/1000, 'f', 3, 64)
 }
 
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -57,6 +57,12 @@
 		c.Module["operations"].([]balance.Settings)[1]["repeat"] != "fingerprinted" {
 		t.Errorf("read otherwise than told: %v, module %v", s, c.Module)
 	}
+	c.Module["limits.max-retry-after-ms"] = 500.0
+	for ms, want := range map[float64]string{200: "0.200", 900: "0.500"} {
+		if _, got := c.comeBack(ms); got != want {
+			t.Errorf("to come back after %v ms: %s, want %s", ms, got, want)
+		}
+	}
 	for change, want := range map[[2]string]string{
 		{`"listen":"127.0.0.1:1",`, ``}:             "listen: missing",
 		{`"8c1f30d27a5be964"`, `"xyz"`}:             `seed: "xyz"`,
