One way to a connection's descriptor; a callback that nobody called is gone

Cause, found on reading the whole change again: back.Unread and back.Drain each went the same way to the descriptor, and the platform's Roster kept a Failed that it never calls, for its list is followed all the time. Change: onSocket serves both; the field is dropped. Behaviour is the same; the tests of back, front, platform and seats pass unchanged. Not measured on sockets.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -133,32 +133,27 @@
 	return err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
 }
 
-// Unread says that something has come on a connection that nobody has read yet.
-func Unread(nc net.Conn) (unread bool) {
+// onSocket does something with a connection's descriptor, if it has one.
+func onSocket(nc net.Conn, f func(fd uintptr)) {
 	t, ok := nc.(*net.TCPConn)
 	if !ok {
-		return false
+		return
 	}
-	raw, err := t.SyscallConn()
-	if err != nil {
-		return false
+	if raw, err := t.SyscallConn(); err == nil {
+		raw.Control(f) // it fails on a closed connection, which has nothing more to tell
 	}
-	err = raw.Control(func(fd uintptr) { unread = !waits(fd) })
-	return unread && err == nil
+}
+
+// Unread says that something has come on a connection that nobody has read yet.
+func Unread(nc net.Conn) (unread bool) {
+	onSocket(nc, func(fd uintptr) { unread = !waits(fd) })
+	return unread
 }
 
 // Drain reads what has come on a connection without waiting: closing it with something unread would reset it, and the
 // other side might lose what was written last.
 func Drain(nc net.Conn) {
-	t, ok := nc.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	raw, err := t.SyscallConn()
-	if err != nil {
-		return
-	}
-	raw.Control(func(fd uintptr) {
+	onSocket(nc, func(fd uintptr) {
 		var b [4096]byte
 		for range 16 {
 			if n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_DONTWAIT); n <= 0 || err != nil {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -35,8 +35,8 @@
 			Known:    known,
 			Strict:   true,
 			Reports:  reports,
-			Roster: func(listed func(bool, []control.Line), failed func()) serve.Roster {
-				m.roster = &Roster{place: place{address: c.Discovery}, Log: log, Listed: listed, Failed: failed, read: newReader(c.names)}
+			Roster: func(listed func(bool, []control.Line), _ func()) serve.Roster {
+				m.roster = &Roster{place: place{address: c.Discovery}, Log: log, Listed: listed, read: newReader(c.names)}
 				return m.roster
 			},
 			Conveyor: func(told Staged, failed func(balance.Ending)) serve.Conveyor {
--- a/internal/platform/roster.go
+++ b/internal/platform/roster.go
@@ -140,7 +140,6 @@
 	place
 	Log    *slog.Logger
 	Listed func(whole bool, lines []control.Line)
-	Failed func()
 
 	read *reader
 	had  bool
