A reader that waits for its client to go sleeps, however long the answer takes

Excluded: the loop (no line says that it stood still), the module's timers (marshals with the same list and news stay at 0.3 s).

At fault: front.go, readBy: the bound on a connection's first request (2.5 s from connecting) was kept until that request was answered, not until it was whole. A client that waits longer leaves the reader with a deadline that is past; it reads, times out, sees a request open, and reads again.

Change: the bound ends with the request's last byte. Test: TestReaderSleepsWhileAnswerIsOut, which fails without the fix.

Also: TestTerms failed once in a run of the package: a request's id was let go only after its answer was written, so a client back at once with the same one could get 409.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -603,6 +603,7 @@
 	if s.Faults.Twice {
 		c.out = append(c.out, c.out...)
 	}
+	c.release()
 	return true, c.write() == nil && !x.ends(), report
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -317,6 +317,7 @@
 	gone     atomic.Bool
 	ended    atomic.Bool // the worker takes no further request
 	noBody   bool        // the request being worked on is a HEAD
+	id       string      // of the request that is open, until its answer begins
 	by       time.Time   // when the first request must be whole; zero once it is, or for no bound
 	yielded  bool        // it gives way to another; s.mu
 	served   atomic.Bool // it had an answer
@@ -361,11 +362,15 @@
 			return
 		}
 		last, body := h.Close, h.Length != 0
+		if !body {
+			c.by = time.Time{}
+		}
 		c.requests <- &request{head: h, began: began}
 		if body {
 			if _, ok := <-c.resume; !ok {
 				return
 			}
+			c.by = time.Time{}
 		}
 		if last { // nothing more is read, but that the client goes
 			c.nc.SetReadDeadline(time.Time{})
@@ -377,10 +382,12 @@
 	}
 }
 
-// readBy bounds the next read, for a first request by what is left until it must be whole.
+// readBy bounds the next read, for a first request by what is left until it must be whole. That bound ends with the
+// request's last byte: kept until the answer, it would be long past for a client that waits, and the reader, which waits
+// for that client to go, would take its core for itself.
 func (c *conn) readBy(within float64) {
 	at := time.Now().Add(ms(within))
-	if !c.by.IsZero() && !c.served.Load() && c.by.Before(at) {
+	if !c.by.IsZero() && c.by.Before(at) {
 		at = c.by
 	}
 	c.nc.SetReadDeadline(at)
@@ -455,6 +462,7 @@
 
 // plain writes an answer of the marshal's own.
 func (c *conn) plain(status int, final, text string, last bool, fields ...string) error {
+	c.release()
 	b := append(strconv.AppendInt(append(c.out[:0], "HTTP/1.1 "...), int64(status), 10), ' ')
 	b = append(append(b, reasons[status]...), "\r\n"...)
 	b = h1.AppendField(b, Final, final)
@@ -524,7 +532,8 @@
 	if !s.claim(asked.ID) {
 		return c.refuse(409, "a request of this id is open", h.Length != 0 || x.last)
 	}
-	defer s.release(asked.ID)
+	c.id = asked.ID
+	defer c.release()
 	x.limit = asked.Limit
 	if s.open.Add(1) > int64(s.Current().Limits.Open) {
 		s.open.Add(-1)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -23,19 +23,49 @@
 // serving starts a clients' side with room for so many connections; every request is answered before it is taken.
 func serving(t *testing.T, connections uint32, terms Terms) (*Server, string) {
 	t.Helper()
+	s, address, _ := counted(t, connections, terms)
+	return s, address
+}
+
+// reading counts the reads on the connections that a listener accepts.
+type reading struct {
+	net.Listener
+	reads *atomic.Int64
+}
+
+type readConn struct {
+	net.Conn
+	reads *atomic.Int64
+}
+
+func (r reading) Accept() (net.Conn, error) {
+	nc, err := r.Listener.Accept()
+	return readConn{nc, r.reads}, err
+}
+
+func (c readConn) Read(b []byte) (int, error) {
+	c.reads.Add(1)
+	return c.Conn.Read(b)
+}
+
+// counted is serving, with a count of reads.
+func counted(t *testing.T, connections uint32, terms Terms) (*Server, string, *atomic.Int64) {
+	t.Helper()
+	reads := &atomic.Int64{}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	clock := loop.Monotonic()
 	s := &Server{Set: &settings.Settings{Instance: &settings.Instance{}, Headers: &settings.Headers{},
-		Limits: &settings.Limits{Connections: connections, Open: connections, LineBytes: 1000, HeaderBytes: 1000, RepeatBodyBytes: 100},
-		Times:  &settings.Times{HeaderMs: 1000, BodyMs: 1000, WriteMs: 1000, IdleMs: 1000}},
-		Clock: clock, Loops: []*loop.Loop{loop.New(clock, 1)}, Cores: [][]*marshal.Core{{}}, Pool: &back.Pool{},
+		Operation: []*settings.Operation{{Name: "x"}},
+		Limits:    &settings.Limits{Connections: connections, Open: connections, LineBytes: 1000, HeaderBytes: 1000, RepeatBodyBytes: 100},
+		Times:     &settings.Times{HeaderMs: 1000, BodyMs: 1000, WriteMs: 1000, IdleMs: 1000}},
+		Clock: clock, Loops: []*loop.Loop{loop.New(clock, 1)}, Cores: [][]*marshal.Core{{nil}}, Pool: &back.Pool{},
 		Log: slog.New(slog.DiscardHandler), Terms: terms}
-	go s.Serve([]Listener{{Listener: ln}})
+	go s.Serve([]Listener{{Listener: reading{ln, reads}}})
 	t.Cleanup(func() { s.Close(time.Second) })
-	return s, ln.Addr().String()
+	return s, ln.Addr().String(), reads
 }
 
 func ask(nc net.Conn, text string) (int, error) {
@@ -132,3 +162,22 @@
 		nc.Close()
 	}
 }
+
+// While a client waits for its answer for longer than a first request may take to arrive, its reader sleeps.
+func TestReaderSleepsWhileAnswerIsOut(t *testing.T) {
+	for body, request := range map[string]string{"no body": "GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+		"body": "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab"} {
+		_, address, reads := counted(t, 20, Terms{FirstMs: 50, Read: func(*h1.Head) (Asked, error) { return Asked{Limit: 400}, nil }})
+		nc, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		if status, err := ask(nc, request); status != 503 || err != nil { // no loop runs that could take it
+			t.Errorf("%s: %d, %v; want 503", body, status, err)
+		}
+		if n := reads.Load(); n > 10 {
+			t.Errorf("%s: %d reads while the client waited; want a few", body, n)
+		}
+	}
+}
--- a/internal/front/terms.go
+++ b/internal/front/terms.go
@@ -90,9 +90,12 @@
 	return !open
 }
 
-func (s *Server) release(id string) {
-	if id != "" {
-		s.ids.Delete(id)
+// release lets the id of the open request go, before the client can have the last byte of its answer: it may come back
+// with the same one at once.
+func (c *conn) release() {
+	if c.id != "" {
+		c.s.ids.Delete(c.id)
+		c.id = ""
 	}
 }
 
