Discovery's stream is read however it is laid out, and kept over a move until the new one speaks

Need: lists may come indented, a watch may fall silent at any byte, and what it misses counts as told 6 s later; a new process counts as told what discovery's agent has from its first moment; SIGHUP moves discovery under load.

Excluded: a spoilt list (the same bytes decode whole). At fault: rest.go, Follow, which took a line for an object.

Change, in rest: an object is found by its braces, whatever lies round it; white space is a sign of life; a process that stood still looks once more before it takes a stream for silent. In platform: the watch's time-out is 3.2 s (was 5), so that notice, connection and list fit the 6 s with a second to spare; an entry that can't be read costs that entry (was: the connection); a lower seq asks for the whole list; numbers of hosts are forgotten 5 minutes after the host is gone and never given twice (the table grew for ever); zones that settings don't name get numbers of their own, and a host without a block a cell of its own, or two of them would count as dropping each other's repeats; settings without zones start. endpoint.go: the stream of an old address goes on until the new one has spoken or it ends. serve: the first list is waited for, 1 s at most, before anything is taken.

--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -5,9 +5,11 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"strconv"
+	"time"
 
 	"github.com/tidwall/gjson"
 
@@ -23,6 +25,7 @@
 	mostBody     = 64 << 10 // bytes of a body
 	mostDatagram = 256      // bytes between marshals
 	firstMs      = 2500.0   // from connecting to a whole first request, of the 3 s in which a client is owed something
+	firstListMs  = 1000     // for discovery's agent, which is on this machine and answers at once unless it is silent
 	idleMs       = 120000.0 // a connection that has served is kept while there is room
 	leaveMs      = 600.0    // after TERM, in which new connections go on coming
 	restMs       = 700.0    // beyond the longest limit, until KILL comes
@@ -45,9 +48,6 @@
 	names  *names
 }
 
-// names are the words of the settings that the wire names things by.
-type names struct{ zones, models []string }
-
 // Read reads a configuration. The error names the field that is missing or wrong.
 func Read(path string) (*Config, error) {
 	text, err := os.ReadFile(path)
@@ -108,15 +108,19 @@
 	c.names = &names{}
 	c.names.zones, _ = c.Module["zones"].([]string)
 	c.names.models, _ = c.Module["models"].([]string)
+	zones := c.names.zones
+	if len(zones) == 0 { // a customer without zones: all is one
+		zones = []string{""}
+	}
 	zone := int(num("zone"))
-	if zone < 0 || zone >= len(c.names.zones) {
-		return nil, fmt.Errorf("the own zone, %d, is none of %d", zone, len(c.names.zones))
+	if zone < 0 || zone >= len(zones) {
+		return nil, fmt.Errorf("the own zone, %d, is none of %d", zone, len(zones))
 	}
 	clients, nodes := seats.Divide(sockets)
 	s := &settings.Settings{
-		Instance: &settings.Instance{Number: uint32(num("number")), Marshals: uint32(num("marshals")), Zone: c.names.zones[zone]},
+		Instance: &settings.Instance{Number: uint32(num("number")), Marshals: uint32(num("marshals")), Zone: zones[zone]},
 		Listen:   &settings.Listen{Invocations: listen},
-		Zone:     c.names.zones,
+		Zone:     zones,
 		Model:    c.names.models,
 		Headers: &settings.Headers{Tenant: "X-Customer", Key: "X-Object", Mark: "Idempotency-Key", TimeMs: "X-Expires-In-Ms",
 			TurnedAway: "X-Never-Ran"},
@@ -154,9 +158,11 @@
 }
 
 // Known is the list as the marshal last held it.
-func (c *Config) Known() ([]control.Line, error) {
+func (c *Config) Known(log *slog.Logger) ([]control.Line, error) {
 	if !c.known.IsObject() {
 		return nil, nil
 	}
-	return newReader(c.names).lines(c.known)
+	return c.reader(log).lines(c.known)
 }
+
+func (c *Config) reader(log *slog.Logger) *reader { return &reader{c.names, time.Now, log} }
--- a/internal/platform/conveyor.go
+++ b/internal/platform/conveyor.go
@@ -32,7 +32,7 @@
 
 // Conveyor follows the platform's news of the newest build, and votes on it.
 type Conveyor struct {
-	place
+	endpoint
 	Patience time.Duration // for a vote's answer
 	Log      *slog.Logger
 	Staged   Staged
@@ -41,15 +41,19 @@
 
 // Run follows the news until the context ends.
 func (c *Conveyor) Run(ctx context.Context) {
-	c.keep(ctx, "release API", c.Log, func(_ context.Context, nc net.Conn) error {
-		return rest.Follow(nc, c.at(), apiBase+"/events", quietEvents, c.line)
+	c.keep(ctx, "release API", c.Log, func(s *session, nc net.Conn) error {
+		return rest.Follow(nc, s.address, apiBase+"/events", eventsTimeout, func(text []byte) (err error) {
+			if !s.speak(func() { err = c.news(gjson.ParseBytes(text)) }) {
+				return errMoved
+			}
+			return err
+		})
 	})
 }
 
-func (c *Conveyor) line(text []byte) error {
-	j, err := object("release API", text)
-	if err != nil || j.Get("type").Str != "ROLLOUT" { // a sign of life, or news of what a marshal has no use for
-		return err
+func (c *Conveyor) news(j gjson.Result) error {
+	if j.Get("type").Str != "ROLLOUT" { // a sign of life, or news of what a marshal has no use for
+		return nil
 	}
 	c.Log.Debug("news", "object", j.Get("object").Raw)
 	return staged(j.Get("object"), false, c.Staged)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -23,20 +23,21 @@
 
 // Start starts a marshal as a configuration says.
 func Start(c *Config, log *slog.Logger) (*Marshal, error) {
-	known, err := c.Known()
+	known, err := c.Known(log)
 	if err != nil {
 		log.Warn("the list that was held last is of no use", "err", err)
 	}
 	m := &Marshal{}
 	hooks := serve.Hooks{
 		Ways: &serve.Ways{
-			Terms:    front.Terms{Read: c.asked, Health: "/healthz", MostBody: mostBody, FirstMs: firstMs, ComeBack: c.comeBack, Quiet: true},
-			Settings: c.Module,
-			Known:    known,
-			Strict:   true,
-			Reports:  reports,
+			Terms:     front.Terms{Read: c.asked, Health: "/healthz", MostBody: mostBody, FirstMs: firstMs, ComeBack: c.comeBack, Quiet: true},
+			Settings:  c.Module,
+			Known:     known,
+			FirstList: firstListMs * time.Millisecond,
+			Strict:    true,
+			Reports:   reports,
 			Roster: func(listed func(bool, []control.Line), _ func()) serve.Roster {
-				m.roster = &Roster{place: place{address: c.Discovery}, Log: log, Listed: listed, read: newReader(c.names)}
+				m.roster = &Roster{endpoint: endpoint{address: c.Discovery}, Log: log, Listed: listed, read: c.reader(log)}
 				return m.roster
 			},
 			Conveyor: func(told Staged, failed func(balance.Ending)) serve.Conveyor {
@@ -45,7 +46,7 @@
 						log.Warn("the news in the configuration is of no use", "err", err)
 					}
 				}
-				m.conveyor = &Conveyor{place: place{address: c.API}, Log: log, Staged: told, Failed: failed,
+				m.conveyor = &Conveyor{endpoint: endpoint{address: c.API}, Log: log, Staged: told, Failed: failed,
 					Patience: time.Duration(c.Set.Rollout.VoteTimeoutMs * float64(time.Millisecond))}
 				return m.conveyor
 			},
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -276,7 +276,7 @@
 	}
 	s.vote = func(n int, w http.ResponseWriter) { cases[n-1].reply(w) }
 	told := 0
-	c := &Conveyor{place: place{address: at(s.api)}, Patience: 300 * time.Millisecond, Log: slog.New(slog.DiscardHandler),
+	c := &Conveyor{endpoint: endpoint{address: at(s.api)}, Patience: 300 * time.Millisecond, Log: slog.New(slog.DiscardHandler),
 		Staged: func(ver, stage int, phase balance.Phase, cap, age float64, reply bool) {
 			if told++; ver != 7 || stage != 1 || phase != balance.OnTrial || cap != 0.28 || age != 310 || !reply {
 				t.Error("told", ver, stage, phase, cap, age, reply)
--- a/internal/platform/roster.go
+++ b/internal/platform/roster.go
@@ -18,103 +18,119 @@
 	"arrowcleat/internal/rest"
 )
 
-// How long a stream may bring nothing, and the waits between two connections.
+// How long a watch may bring nothing. What a silent one misses counts as told 6 s after it fell silent, and within that it has
+// to be noticed, opened anew and read whole: a sign of life that is late by more than half of its period is missed.
 const (
-	quietRoster = 5 * time.Second // an empty line comes every 2 s
-	quietEvents = 3 * time.Second // a sign of life every second
-	waitFirst   = 20 * time.Millisecond
-	waitMost    = 500 * time.Millisecond
+	rosterTimeout = 3200 * time.Millisecond // an empty line comes every 2 s
+	eventsTimeout = 2 * time.Second         // a sign of life every second
 )
 
-// object reads a line of a stream, which is a JSON object or, as a sign of life, empty.
-func object(from string, text []byte) (j gjson.Result, err error) {
-	if len(text) == 0 {
-		return j, nil
-	}
-	if j = gjson.ParseBytes(text); !gjson.ValidBytes(text) || !j.IsObject() {
-		return j, fmt.Errorf("%s: no JSON object: %.80q", from, text)
-	}
-	return j, nil
+// names are the words of the settings that the wire names things by, and the numbers of what it names itself.
+type names struct {
+	zones, models []string
+
+	mu     sync.Mutex
+	hosts  map[string]*hostID
+	last   uint32         // number given to a host
+	others map[string]int // numbers of zones that the settings don't name
 }
 
-// place is an address that can change while a session with it is kept.
-type place struct {
-	mu      sync.Mutex
-	address string
-	leave   context.CancelFunc
+// hostID is the number of a host; a number is never given twice.
+type hostID struct {
+	number uint32
+	gone   time.Time // since when, zero while it is listed
 }
 
-// Move leaves for another address.
-func (p *place) Move(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if address != p.address {
-		p.address = address
-		if p.leave != nil {
-			p.leave()
+// forgetHost is for how long the number of a host that is gone is kept: longer than anything else of it.
+const forgetHost = 5 * time.Minute
+
+// host is the number of a host as it is told now.
+func (n *names) host(name string, gone bool, now time.Time) uint32 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h := n.hosts[name]
+	if h == nil {
+		if n.hosts == nil {
+			n.hosts = map[string]*hostID{}
 		}
+		n.last++
+		h = &hostID{number: n.last}
+		n.hosts[name] = h
 	}
+	if !gone {
+		h.gone = time.Time{}
+	} else if h.gone.IsZero() {
+		h.gone = now
+	}
+	return h.number
 }
 
-func (p *place) at() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.address
+// listed takes what a whole list leaves out for gone, and forgets what has been gone for long.
+func (n *names) listed(whole bool, lines []control.Line, now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	there := map[uint32]bool{}
+	for _, l := range lines {
+		there[l.ID] = true
+	}
+	for name, h := range n.hosts {
+		if whole && !there[h.number] && h.gone.IsZero() {
+			h.gone = now
+		}
+		if !h.gone.IsZero() && now.Sub(h.gone) > forgetHost {
+			delete(n.hosts, name)
+		}
+	}
 }
 
-func (p *place) keep(ctx context.Context, name string, log *slog.Logger, session func(context.Context, net.Conn) error) {
-	for ctx.Err() == nil {
-		here, leave := context.WithCancel(ctx)
-		p.mu.Lock()
-		address := p.address
-		p.leave = leave
-		p.mu.Unlock()
-		control.Keep(here, name, address, waitFirst, waitMost, log, session)
-		leave()
+// zone is the number of a zone. One that the settings don't name gets one of its own: what is said of two nodes of one zone,
+// that they drop each other's repeats, must not hold for it and another. Where settings name none, all is one.
+func (n *names) zone(name string) int {
+	if len(n.zones) == 0 {
+		return 0
+	}
+	if i := slices.Index(n.zones, name); i >= 0 {
+		return i
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	i, known := n.others[name]
+	if !known {
+		if n.others == nil {
+			n.others = map[string]int{}
+		}
+		i = len(n.zones) + len(n.others)
+		n.others[name] = i
 	}
+	return i
 }
 
-// reader makes lines of the list of what discovery tells; ids of nodes are numbered as they are first heard of.
+// reader makes lines of the list of what discovery tells.
 type reader struct {
 	names *names
 	now   func() time.Time
-}
-
-func newReader(n *names) *reader { return &reader{n, time.Now} }
-
-// ids numbers the names of nodes, for as long as the process lives.
-var ids = struct {
-	sync.Mutex
-	of map[string]uint32
-}{of: map[string]uint32{}}
-
-func id(name string) uint32 {
-	ids.Lock()
-	defer ids.Unlock()
-	n, ok := ids.of[name]
-	if !ok {
-		n = uint32(len(ids.of) + 1)
-		ids.of[name] = n
-	}
-	return n
+	log   *slog.Logger
 }
 
 var healths = map[string]balance.Health{"in_service": balance.Serving, "terminating": balance.Draining, "terminated": balance.Gone}
 
+// lines reads a list. An entry that can't be read costs that entry, not the others.
 func (r *reader) lines(list gjson.Result) (lines []control.Line, err error) {
 	hosts := list.Get("hosts")
-	if !hosts.IsArray() {
-		return nil, errors.New("hosts: not a list")
+	if !hosts.IsArray() || list.Get("seq").Type != gjson.Number {
+		return nil, errors.New("no list of hosts with a seq")
 	}
 	hosts.ForEach(func(_, h gjson.Result) bool {
-		var l control.Line
-		if l, err = r.line(h); err != nil {
-			return false
+		l, err := r.line(h)
+		if err != nil {
+			r.log.Warn("an entry of the list can't be read", "err", err)
+			return true
 		}
 		lines = append(lines, l)
 		return true
 	})
-	return lines, err
+	r.names.listed(list.Get("whole").Bool(), lines, r.now())
+	return lines, nil
 }
 
 func (r *reader) line(h gjson.Result) (l control.Line, err error) {
@@ -123,11 +139,21 @@
 	if name == "" || !ok {
 		return l, fmt.Errorf("host %.40q: health %.40q is not known", name, h.Get("health").Str)
 	}
-	l = control.Line{Node: balance.Node{ID: id(name), Health: health, Ver: int(h.Get("build").Int()), Cell: int(h.Get("block").Int()),
-		Size: h.Get("share").Num, Zone: slices.Index(r.names.zones, h.Get("site").Str),
-		Model: max(0, slices.Index(r.names.models, h.Get("class").Str))}, Address: h.Get("dial").Str}
-	if _, _, err := net.SplitHostPort(l.Address); err != nil && health != balance.Gone {
-		return l, fmt.Errorf("host %q: %.60q is no host:port", name, l.Address)
+	if v := h.Get("build"); v.Type != gjson.Number && health != balance.Gone {
+		return l, fmt.Errorf("host %.40q: build: no number: %.40q", name, v.Raw)
+	}
+	address := h.Get("dial").Str
+	if _, _, err := net.SplitHostPort(address); err != nil && health != balance.Gone {
+		return l, fmt.Errorf("host %.40q: %.60q is no host:port", name, address)
+	}
+	l = control.Line{Node: balance.Node{ID: r.names.host(name, health == balance.Gone, r.now()), Health: health,
+		Ver: int(h.Get("build").Int()), Cell: int(h.Get("block").Int()), Size: 1, Zone: r.names.zone(h.Get("site").Str),
+		Model: max(0, slices.Index(r.names.models, h.Get("class").Str))}, Address: address}
+	if v := h.Get("share"); v.Type == gjson.Number && v.Num >= 0 {
+		l.Size = v.Num
+	}
+	if h.Get("block").Type != gjson.Number { // of a cell of its own: nothing is known to drop its repeats
+		l.Cell = -int(l.ID)
 	}
 	if born := h.Get("born_ms").Int(); born > 0 {
 		l.Incarnation, l.Up = uint64(born), max(1, float64(r.now().UnixMilli()-born))
@@ -137,7 +163,7 @@
 
 // Roster follows discovery's list of nodes.
 type Roster struct {
-	place
+	endpoint
 	Log    *slog.Logger
 	Listed func(whole bool, lines []control.Line)
 
@@ -148,26 +174,41 @@
 
 // Run follows the list until the context ends.
 func (r *Roster) Run(ctx context.Context) {
-	r.keep(ctx, "discovery", r.Log, func(_ context.Context, nc net.Conn) error {
+	r.keep(ctx, "discovery", r.Log, func(s *session, nc net.Conn) error {
 		target := "/v1/servers?follow=1"
-		if r.had {
-			target += "&since=" + strconv.FormatInt(r.seq, 10)
-		}
-		return rest.Follow(nc, r.at(), target, quietRoster, r.line)
+		s.alone(func() {
+			if r.had {
+				target += "&since=" + strconv.FormatInt(r.seq, 10)
+			}
+		})
+		return rest.Follow(nc, s.address, target, rosterTimeout, func(text []byte) (err error) {
+			j := gjson.ParseBytes(text)
+			if !s.speak(func() { err = r.take(j) }) {
+				return errMoved
+			}
+			return err
+		})
 	})
 }
 
-func (r *Roster) line(text []byte) error {
-	j, err := object("discovery", text)
-	if err != nil || len(text) == 0 {
-		return err
+// take takes a list, or what has changed of it. Numbers of changes may leave some out, so that no gap can be seen; one that
+// is lower than what was had is another count, of which the whole list is asked for.
+func (r *Roster) take(j gjson.Result) error {
+	if !j.Get("hosts").Exists() && !j.Get("seq").Exists() { // a sign of life
+		return nil
 	}
 	lines, err := r.read.lines(j)
 	if err != nil {
+		r.had = false
 		return fmt.Errorf("discovery: %w", err)
 	}
-	r.had, r.seq = true, j.Get("seq").Int()
-	r.Listed(j.Get("whole").Bool(), lines)
+	whole, seq := j.Get("whole").Bool(), j.Get("seq").Int()
+	if !whole && (!r.had || seq < r.seq) {
+		r.had = false
+		return fmt.Errorf("discovery: changes up to %d where %d was had: the whole list is due", seq, r.seq)
+	}
+	r.had, r.seq = true, seq
+	r.Listed(whole, lines)
 	return nil
 }
 
--- a/internal/rest/rest.go
+++ b/internal/rest/rest.go
@@ -4,10 +4,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"time"
 
@@ -17,7 +21,7 @@
 // Bounds on what the other side may send.
 const (
 	headBytes   = 16 << 10
-	answerBytes = 1 << 20 // of one answer, and of one line of a stream
+	answerBytes = 4 << 20 // of one answer, and of one object of a stream
 )
 
 var limits = h1.Limits{Line: headBytes / 4, Header: headBytes}
@@ -50,14 +54,15 @@
 	return h.Status, answer, true, nil
 }
 
-// Follow asks for a stream on a connection and hands on each of its lines, until it ends, brings nothing for as long as
-// quiet, or a line is not accepted.
-func Follow(nc net.Conn, address, target string, quiet time.Duration, line func([]byte) error) error {
-	nc.SetDeadline(time.Now().Add(quiet))
+// Follow asks for a stream on a connection and hands on each of its JSON objects, until it ends, brings nothing for as long
+// as quiet, or an object is not accepted. An object may lie on a line, on several, indented, or beside others, and reads may
+// cut it anywhere; white space between objects is only a sign of life.
+func Follow(nc net.Conn, address, target string, quiet time.Duration, object func([]byte) error) error {
+	nc.SetWriteDeadline(time.Now().Add(quiet))
 	if err := ask(nc, address, "GET", target, nil); err != nil {
 		return err
 	}
-	r := h1.NewReader(nc, 4096)
+	r := h1.NewReader(&pulse{nc, quiet}, 4096)
 	h, err := answered(r, "GET")
 	if err != nil {
 		return err
@@ -65,20 +70,76 @@
 	if h.Status != 200 {
 		return fmt.Errorf("following %s: status %d", target, h.Status)
 	}
-	lines := bufio.NewScanner(r.Body(h, limits))
-	lines.Buffer(nil, answerBytes)
-	for lines.Scan() {
-		nc.SetDeadline(time.Now().Add(quiet))
-		if err := line(lines.Bytes()); err != nil {
+	objects := bufio.NewScanner(r.Body(h, limits))
+	objects.Buffer(nil, answerBytes)
+	objects.Split(splitObject)
+	for objects.Scan() {
+		if !json.Valid(objects.Bytes()) {
+			return fmt.Errorf("following %s: no JSON object: %.80q", target, objects.Bytes())
+		}
+		if err := object(objects.Bytes()); err != nil {
 			return err
 		}
 	}
-	if err := lines.Err(); err != nil {
+	if err := objects.Err(); err != nil {
 		return fmt.Errorf("following %s: %w", target, err)
 	}
 	return io.EOF
 }
 
+// splitObject is a bufio.SplitFunc: a token goes from an opening brace to the one that closes it.
+func splitObject(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	rest := bytes.TrimLeft(data, " \t\r\n")
+	start := len(data) - len(rest)
+	if len(rest) == 0 {
+		return start, nil, nil
+	}
+	if rest[0] != '{' {
+		return 0, nil, fmt.Errorf("no JSON object: %.80q", rest)
+	}
+	depth, text, escaped := 0, false, false
+	for i, c := range rest {
+		switch {
+		case escaped:
+			escaped = false
+		case text:
+			escaped, text = c == '\\', c != '"'
+		case c == '"':
+			text = true
+		case c == '{':
+			depth++
+		case c == '}':
+			if depth--; depth == 0 {
+				return start + i + 1, rest[:i+1], nil
+			}
+		}
+	}
+	if atEOF {
+		return 0, nil, io.ErrUnexpectedEOF
+	}
+	return start, nil, nil
+}
+
+// pulse reads a stream that is silent for no longer than quiet.
+type pulse struct {
+	nc    net.Conn
+	quiet time.Duration
+}
+
+// lastLook is how long a stream that seems silent is read once more. It guards against a process that itself stood still: its
+// deadline is past, but what came meanwhile is there.
+const lastLook = 20 * time.Millisecond
+
+func (p *pulse) Read(b []byte) (int, error) {
+	p.nc.SetReadDeadline(time.Now().Add(p.quiet))
+	n, err := p.nc.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		p.nc.SetReadDeadline(time.Now().Add(lastLook))
+		n, err = p.nc.Read(b)
+	}
+	return n, err
+}
+
 func ask(nc net.Conn, address, method, target string, body []byte) error {
 	b := append([]byte(method+" "+target+" HTTP/1.1\r\n"), "Host: "+address+"\r\n"...)
 	if body != nil {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -68,6 +68,8 @@
 	mu      sync.Mutex // what the lanes are told: by all in the same order
 	list    *list
 	changed chan struct{} // the list has
+	heard   chan struct{} // closed by the roster's first list
+	once    sync.Once
 	stage   func(*lane)   // tells where the newest build stands
 	none    int           // the build of which nothing may be exposed, its cap being 0; or -1
 }
@@ -100,6 +102,7 @@
 	Reports         map[string]string // its names
 	NodeConnections int               // its bound on all
 	Known           []control.Line
+	FirstList       time.Duration // how long the marshal waits for the roster's first list before it takes invocations
 	Roster          func(listed func(whole bool, lines []control.Line), failed func()) Roster
 	Conveyor        func(staged func(ver, stage int, phase balance.Phase, cap, age float64, reply bool),
 		failed func(balance.Ending)) Conveyor
@@ -154,7 +157,8 @@
 	}
 	cores := make([][]*marshal.Core, len(m.Loops))
 	for i, of := range set.Pools() {
-		g := &group{m: m, number: i, none: -1, set: of, list: newList(of.Roster.File, hooks.Clock), changed: make(chan struct{}, 1)}
+		g := &group{m: m, number: i, none: -1, set: of, list: newList(of.Roster.File, hooks.Clock), changed: make(chan struct{}, 1),
+			heard: make(chan struct{})}
 		prefix, log := strconv.Itoa(int(set.Instance.Number))+"-"+strconv.FormatUint(seed>>40, 36)+"-", log
 		if len(set.Pool) > 0 {
 			prefix, log = prefix+strconv.Itoa(i)+"-", log.With("pool", set.Pool[i].Name)
@@ -223,6 +227,9 @@
 	if m.meter != nil {
 		m.meterOn(ctx)
 	}
+	if hooks.Ways != nil {
+		m.hear(hooks.Ways.FirstList)
+	}
 	served := make(chan struct{})
 	m.background(func() {
 		close(served)
@@ -238,6 +245,19 @@
 	return m, nil
 }
 
+// hear waits for the first lists, but not for long. It guards against a new process that sends by the list it held last what
+// the list there is already forbids; it may hurt where no list comes: then it serves that much later.
+func (m *Marshal) hear(within time.Duration) {
+	late := time.After(within)
+	for _, g := range m.groups {
+		select {
+		case <-g.heard:
+		case <-late:
+			return
+		}
+	}
+}
+
 func (m *Marshal) background(f func()) {
 	m.wg.Add(1)
 	go func() { defer m.wg.Done(); f() }()
@@ -516,6 +536,7 @@
 		l.loop.News(func() { l.core.Listed(whole, nodes, addresses) })
 	}
 	g.list.take(whole, lines)
+	g.once.Do(func() { close(g.heard) })
 	select {
 	case g.changed <- struct{}{}:
 	default: // it will be written anyway
