What is on its way when a marshal stops is answered; clients that leave end what is out for them

Need: clients send on every connection up to SIGKILL, new ones come for 0.4 s more, and a request that is taken and not answered is lost. A client that closes has gone: no attempt may begin more than 0.1 s later, also not on a connection to a node that comes up a second late.

Change: front: Stop wakes only readers that wait for a request (under a lock), each looks once more (5 ms, 300 ms for a connection that never asked); the accept queue is emptied before the listener closes; an idle connection ends by a half-close. What is read while stopping is served, not refused. serve: Stop waits until no connection is left, within its time. Let gives up what is out.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -161,9 +161,18 @@
 
 func (x *exchange) Throttle(comeBack float64) { x.final(command{what: doThrottle, comeBack: comeBack}) }
 func (x *exchange) Terminate()                { x.final(command{what: doTerminate}) }
-func (x *exchange) Let()                      { x.send(command{what: doLet}) }
 func (x *exchange) Abrupt()                   { x.final(command{what: doTerminate}) }
 
+// Let gives up what is out: nobody waits for it any more, and a connection that comes up late must carry nothing.
+func (x *exchange) Let() {
+	x.mu.Lock()
+	if x.out {
+		x.stop()
+	}
+	x.mu.Unlock()
+	x.send(command{what: doLet})
+}
+
 // final decides on the answer unless a success was faster, and ends what is still out.
 func (x *exchange) final(cmd command) {
 	if x.claimed.Swap(true) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -107,6 +107,7 @@
 		nc, err := ln.Accept()
 		if err != nil {
 			if s.stopping.Load() {
+				s.lastAccepts(ln)
 				return nil
 			}
 			var n net.Error
@@ -123,6 +124,26 @@
 	}
 }
 
+// deadlined is a listener that can be woken without being closed.
+type deadlined interface{ SetDeadline(time.Time) error }
+
+// lastAccepts takes what the kernel has accepted already, and closes the listener once nothing has come for a moment: a
+// connection that is in its queue then is reset, with whatever request it carries.
+func (s *Server) lastAccepts(ln Listener) {
+	defer ln.Close()
+	d, ok := ln.Listener.(deadlined)
+	end := time.Now().Add(10 * lastCall)
+	for idle := 0; ok && idle < 2 && time.Now().Before(end); { // one that stood still may find its deadline past before it has looked
+		d.SetDeadline(time.Now().Add(lastCall))
+		if nc, err := ln.Accept(); err == nil {
+			s.accept(nc, ln.Name)
+			idle = 0
+		} else {
+			idle++
+		}
+	}
+}
+
 func (s *Server) prepare(lns []Listener) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -235,15 +256,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, ln := range s.lns {
-		ln.Close()
+		if d, ok := ln.Listener.(deadlined); !ok || d.SetDeadline(time.Unix(1, 0)) != nil {
+			ln.Close()
+		}
 	}
 	for c := range s.conns {
-		if c.open.Load() == 0 {
-			c.nc.SetReadDeadline(time.Unix(1, 0)) // wakes the reader, which then closes
-		}
+		c.wake()
 	}
 }
 
+// Connections is the number of clients' connections that are not closed.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // Close waits for the connections to end, and after a time ends them.
 func (s *Server) Close(within time.Duration) {
 	s.Stop()
@@ -293,6 +321,10 @@
 const (
 	readBuffer = 4096
 	lingerFor  = 300 * time.Millisecond // for a client to read why its connection ends
+	// lastCall is how long a marshal that stops looks once more for what was on its way when it stopped; for a connection that
+	// has never asked, firstCall.
+	lastCall  = 5 * time.Millisecond
+	firstCall = 300 * time.Millisecond
 	// mostParting are the connections turned away that may linger, and those that give way at once: in a flood they
 	// would use up the descriptors.
 	mostParting = 8
@@ -310,6 +342,9 @@
 	guard    *time.Timer
 	home     int // the core that takes what nothing binds to another
 	r        *h1.Reader
+	waking   sync.Mutex
+	waiting  bool // the reader waits for the first byte of a request; with called, under waking
+	called   bool // it does so for the last time, since the marshal stops
 	requests chan *request
 	resume   chan struct{}
 	commands chan command
@@ -340,19 +375,20 @@
 	defer close(c.requests)
 	t := c.s.Current().Times
 	for {
-		c.readBy(t.IdleMs)
-		if c.ended.Load() || c.s.stopping.Load() && c.open.Load() == 0 {
+		c.await(t.IdleMs)
+		if c.ended.Load() {
 			return
 		}
 		if _, err := c.r.Peek(1); err != nil {
-			if back.Timeout(err) && c.open.Load() > 0 && !c.ended.Load() {
-				continue // not idle: it waits for its answer
+			if back.Timeout(err) && !c.ended.Load() && (c.open.Load() > 0 || c.s.stopping.Load() && !c.called) {
+				continue // it waits for its answer, or is asked a last time
 			}
 			if !back.Timeout(err) {
 				c.leave()
 			}
 			return
 		}
+		c.begin()
 		began := c.s.Clock.Now()
 		c.readBy(t.HeaderMs)
 		h, err := c.r.Request(c.s.limits)
@@ -393,6 +429,44 @@
 	c.nc.SetReadDeadline(at)
 }
 
+// await is before the reader waits for the first byte of a request: where the marshal stops, for the last time.
+func (c *conn) await(idleMs float64) {
+	c.waking.Lock()
+	defer c.waking.Unlock()
+	c.waiting = true
+	c.readBy(idleMs)
+	if c.s.stopping.Load() && c.open.Load() == 0 {
+		c.called = true
+		c.nc.SetReadDeadline(time.Now().Add(c.lastCall()))
+	}
+}
+
+// begin is when that byte has come.
+func (c *conn) begin() {
+	c.waking.Lock()
+	defer c.waking.Unlock()
+	c.waiting = false
+}
+
+// wake has a reader that waits for a request look once more, and then close. One that has begun to read a request goes on: what
+// is half read when the marshal stops is taken like the rest.
+func (c *conn) wake() {
+	c.waking.Lock()
+	defer c.waking.Unlock()
+	if c.waiting && !c.called && c.open.Load() == 0 {
+		c.nc.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// lastCall is how long what may be on its way when the marshal stops is waited for. A request that the kernel has is read and
+// answered; one that crosses the close after that is not, and its client sends it again.
+func (c *conn) lastCall() time.Duration {
+	if c.served.Load() {
+		return lastCall
+	}
+	return firstCall
+}
+
 // leave says that the client has gone.
 func (c *conn) leave() {
 	c.gone.Store(true)
@@ -417,6 +491,10 @@
 			}
 		}
 	}
+	if keep && c.s.stopping.Load() {
+		c.linger() // a request that crosses the close must not reset it
+	}
+	back.Drain(c.nc)
 	c.nc.Close()
 	c.s.mu.Lock()
 	delete(c.s.conns, c)
@@ -513,9 +591,6 @@
 	x := &exchange{c: c, head: h, began: req.began, last: h.Close}
 	defer x.resumeReader()
 	c.noBody = h.Method == "HEAD"
-	if s.stopping.Load() {
-		return c.refuse(503, "this marshal is stopping", true)
-	}
 	if s.Terms.Health != "" && h.Target == s.Terms.Health && h.Method == "GET" && h.Length == 0 {
 		return c.plain(200, NotTaken, "serving", x.ends()) == nil && !x.ends()
 	}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -70,8 +70,8 @@
 	changed chan struct{} // the list has
 	heard   chan struct{} // closed by the roster's first list
 	once    sync.Once
-	stage   func(*lane)   // tells where the newest build stands
-	none    int           // the build of which nothing may be exposed, its cap being 0; or -1
+	stage   func(*lane) // tells where the newest build stands
+	none    int         // the build of which nothing may be exposed, its cap being 0; or -1
 }
 
 // lane is one instance of a group's module, on its core's loop.
@@ -643,13 +643,14 @@
 // Ended is closed once the marshal has nothing left to run on: after Stop, Kill, or a panic of its module.
 func (m *Marshal) Ended() <-chan struct{} { return m.ended }
 
-// Stop takes nothing new, lets what was taken end within its time, and ends.
+// Stop takes nothing new, lets what was taken end within its time, and ends once no connection is left that may still carry a
+// request.
 func (m *Marshal) Stop() error {
 	m.Front.Stop()
 	deadline := time.Now().Add(dur(m.Front.Current().Times.StopMs))
 	for open := 1; open > 0 && time.Now().Before(deadline); {
 		time.Sleep(5 * time.Millisecond)
-		open = m.Front.Open()
+		open = m.Front.Open() + m.Front.Connections()
 		for i, l := range m.Loops {
 			if !l.Ask(func() { open += m.owed(i) }) {
 				return m.End()
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"os/exec"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -637,24 +636,7 @@
 
 // A node whose accept queue is full takes no connection: what was meant for it provably never ran, and goes elsewhere.
 func TestAcceptQueueFull(t *testing.T) {
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer syscall.Close(fd)
-	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
-		t.Fatal(err)
-	}
-	sa, err := syscall.Getsockname(fd)
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := fmt.Sprintf("127.0.0.1:%d", sa.(*syscall.SockaddrInet4).Port)
-	for range 3 { // fills it
-		if c, err := net.DialTimeout("tcp", address, 50*time.Millisecond); err == nil {
-			defer c.Close()
-		}
-	}
+	address, _ := full(t)
 	r := start(t, 1, ok, func(s *settings.Settings) { s.Times.DialMs = 60 }, rigHooks{})
 	r.list(9, address, balance.Serving)
 	r.until("it is known", func() bool { l, _ := r.m.Look(); return len(l.Nodes) == 2 })
