A node's late second answer can't be the next request's; overtaken states of a build are dropped

Excluded: telling them apart by their content or heads.

Change: back: a connection rests 20 ms after its answer before it is used again (another one is taken or opened meanwhile); a request not written whole provably never ran where nodes begin only what they have whole. platform: a vote's answer and the stream come on two connections, so an answer given before what the stream told is dropped where it would raise a fallen cap; a reply then tells what stands.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/textproto"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -26,6 +27,7 @@
 	Dial   time.Duration // the longest a connection may take to open
 	Idle   time.Duration // how long one is kept unused
 	Most   int           // unused ones kept for a node
+	Settle time.Duration // how long one rests after its answer: what comes unasked behind it must not be the next one's
 	All    int           // connections to all nodes together, beyond which an unused one gives way; 0: no bound
 
 	Strict bool              // an answer is 200, all else is a failure
@@ -86,9 +88,13 @@
 	for {
 		n.mu.Lock()
 		var c *Conn
-		if last := len(n.conns) - 1; last >= 0 {
-			c, n.conns[last] = n.conns[last], nil
-			n.conns = n.conns[:last]
+		last := len(n.conns) - 1
+		for last >= 0 && time.Since(n.conns[last].since) < p.Settle {
+			last--
+		}
+		if last >= 0 {
+			c = n.conns[last]
+			n.conns = slices.Delete(n.conns, last, last+1)
 		}
 		n.mu.Unlock()
 		if c == nil || time.Since(c.since) < p.Idle && c.open() {
@@ -277,6 +283,7 @@
 type Fate struct {
 	Dialed   bool  // there was a connection
 	Wrote    int64 // bytes of the request that left
+	Part     bool  // some did not, and the node begins only what it has whole
 	Err      error // what ended it, nil for a whole answer
 	Status   int   // of the answer, 0 for none
 	Away     bool  // the node says that it turned the work away before it began
@@ -286,7 +293,8 @@
 }
 
 // Ending is what a fate proves; the table is in docs/protocol.md. Only proof counts as never having run: no
-// connection, no byte written, or the node's own word. All else may have run.
+// connection, no byte written (or, where nodes begin only what they have whole, not all), or the node's own word. All else
+// may have run.
 func (f Fate) Ending() balance.Ending {
 	switch {
 	case f.Status != 0 && f.Err == nil && f.Away && (f.Status == 429 || f.Status == 503 || f.Status == 504):
@@ -295,6 +303,10 @@
 		return balance.Succeeded
 	case f.Status != 0 && f.Err == nil:
 		return balance.Failed
+	case f.Part && !f.Canceled && !f.Expired:
+		return balance.NoConnect
+	case f.Part:
+		return balance.Ignored
 	case f.Wrote == 0 && (f.Canceled || f.Expired && f.Dialed):
 		return balance.Ignored
 	case f.Wrote == 0:
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -408,13 +408,13 @@
 			f.Canceled, f.Err = true, errLate
 			return nil
 		}
-		f.Wrote, f.Err = x.writeTo(node)
+		f.Wrote, f.Err = x.writeTo(node, f)
 		if f.Err == nil {
 			return node
 		}
 		if errors.Is(f.Err, errClient) {
 			f.Canceled = true
-		} else if f.Wrote > 0 && back.Gone(f.Err) { // it may have answered before it had read all, and closed
+		} else if f.Wrote > 0 && !f.Part && back.Gone(f.Err) { // it may have answered before it had read all, and closed
 			f.Err = nil
 			return node
 		}
@@ -444,7 +444,7 @@
 var errClient = errors.New("the client broke off its body")
 
 // writeTo writes the request as it goes on to a node.
-func (x *exchange) writeTo(node *back.Conn) (int64, error) {
+func (x *exchange) writeTo(node *back.Conn, f *back.Fate) (int64, error) {
 	h := x.head
 	b := append(append(append(append(node.Buf[:0], h.Method...), ' '), h.Target...), " HTTP/1.1\r\n"...)
 	b = h1.AppendHeader(b, h.Header, "Content-Length", "Via", "X-Forwarded-For", x.c.s.names.time)
@@ -496,6 +496,7 @@
 	n, err := node.Write(b)
 	wrote := int64(n)
 	if err != nil || x.whole {
+		f.Part = x.c.s.Pool.Strict && n < len(b)
 		return wrote, err
 	}
 	return x.stream(node, wrote)
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -26,8 +26,10 @@
 	mostDatagram = 256      // bytes between marshals
 	firstMs      = 2500.0   // from connecting to a whole first request, of the 3 s in which a client is owed something
 	firstListMs  = 1000     // for discovery's agent, which is on this machine and answers at once unless it is silent
+	settleMs     = 20       // a second answer may come some ms behind the first
 	idleMs       = 120000.0 // a connection that has served is kept while there is room
 	leaveMs      = 600.0    // after TERM, in which new connections go on coming
+	callMs       = 1000.0   // to connect to a node, or for a vote, where settings bound it by nothing
 	restMs       = 700.0    // beyond the longest limit, until KILL comes
 )
 
@@ -83,6 +85,11 @@
 		API: j.Get("release_api.address").Str, Cores: j.Get("limits.cores").Num, MemoryMB: j.Get("limits.memory_mb").Num,
 		news: j.Get("release_api.news"), known: j.Get("known"), listen: j.Get("peer_listen").Str,
 		all: j.Get("peers_all").Str}
+	for name, least := range map[string]float64{"limits.sockets": seats.Least, "limits.memory_mb": 8, "limits.cores": 0.001} {
+		if v := j.Get(name).Num; v < least {
+			return nil, fmt.Errorf("%s: %v is too little: at least %v", name, v, least)
+		}
+	}
 	for _, a := range map[string]string{"listen": j.Get("listen").Str, "discovery": c.Discovery, "release_api.address": c.API} {
 		if _, _, err := net.SplitHostPort(a); err != nil {
 			return nil, fmt.Errorf("%.60q is no host:port", a)
@@ -102,6 +109,14 @@
 	return c, nil
 }
 
+// or is a time that settings may leave out.
+func or(ms, absent float64) float64 {
+	if ms > 0 {
+		return ms
+	}
+	return absent
+}
+
 // settings are the marshal's own, for its clients' side and its connections to nodes. The module gets the platform's.
 func (c *Config) settings(listen string, sockets int) (*settings.Settings, error) {
 	num := func(name string) float64 { v, _ := c.Module[name].(float64); return v }
@@ -127,11 +142,11 @@
 		Limits: &settings.Limits{Connections: uint32(clients), Open: uint32(clients), Queue: uint32(clients), LineBytes: 4096,
 			HeaderBytes: 16 << 10, RepeatBodyBytes: mostBody + 1, HeldAnswerBytes: mostBody + 1, IdlePerNode: uint32(nodes),
 			Probes: true, ProbePath: "/load"},
-		Times: &settings.Times{HeaderMs: firstMs, BodyMs: firstMs, WriteMs: 1000, IdleMs: idleMs, DialMs: num("limits.dial-timeout-ms"),
+		Times: &settings.Times{HeaderMs: firstMs, BodyMs: firstMs, WriteMs: 1000, IdleMs: idleMs, DialMs: or(num("limits.dial-timeout-ms"), callMs),
 			NodeIdleMs: num("limits.conn-idle-ms") * 0.9, AnswerMs: 5},
 		Roster: &settings.Roster{}, Conveyor: &settings.Conveyor{}, Record: &settings.Record{},
 		Rules:   &settings.Rules{GraceMs: num("rules.stop-sending-within-ms")},
-		Rollout: &settings.Rollout{VoteTimeoutMs: num("rollout.api-timeout-ms")},
+		Rollout: &settings.Rollout{VoteTimeoutMs: or(num("rollout.api-timeout-ms"), callMs)},
 		Log:     &settings.Log{Level: "warn", Form: "text"},
 	}
 	ops, _ := c.Module["operations"].([]balance.Settings)
--- a/internal/platform/conveyor.go
+++ b/internal/platform/conveyor.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -37,8 +38,52 @@
 	Log      *slog.Logger
 	Staged   Staged
 	Failed   func(how balance.Ending)
+
+	order sync.Mutex // of what is told
+	last  *state     // told last
+}
+
+// state is where a build stands.
+type state struct {
+	ver, stage int
+	phase      balance.Phase
+	cap        float64
+	since      time.Time
+}
+
+// later are the phases in the order that a build comes to stand in them.
+var later = map[balance.Phase]int{balance.OnTrial: 0, balance.Released: 1, balance.GoingBack: 2, balance.Withdrawn: 3}
+
+// before says that a state is one that the build had before another. A vote's answer and the stream come on two connections:
+// the answer may have been given before what the stream told, and would raise a cap again that has fallen. patience bounds how
+// much later than it was given it can come; what came to stand so later than that is news, whatever it says.
+func (s *state) before(o *state, patience time.Duration) bool {
+	if s.ver != o.ver {
+		return s.ver < o.ver
+	}
+	less := later[s.phase] < later[o.phase] || s.phase == balance.OnTrial && o.phase == balance.OnTrial && s.stage < o.stage
+	return less && s.since.Before(o.since.Add(patience))
+}
+
+// tell tells what is not overtaken; of a reply that is, what stands.
+func (c *Conveyor) tell(ver, stage int, phase balance.Phase, cap, age float64, reply bool) {
+	c.order.Lock()
+	defer c.order.Unlock()
+	now := time.Now()
+	s := &state{ver, stage, phase, cap, now.Add(-time.Duration(min(age, mostAge) * float64(time.Millisecond)))}
+	if c.last != nil && s.before(c.last, c.Patience) {
+		if !reply {
+			return
+		}
+		s = c.last
+		age = float64(now.Sub(s.since)) / float64(time.Millisecond)
+	}
+	c.last = s
+	c.Staged(s.ver, s.stage, s.phase, s.cap, age, reply)
 }
 
+const mostAge = 1e11 // ms that a state's age is counted to
+
 // Run follows the news until the context ends.
 func (c *Conveyor) Run(ctx context.Context) {
 	c.keep(ctx, "release API", c.Log, func(s *session, nc net.Conn) error {
@@ -56,7 +101,7 @@
 		return nil
 	}
 	c.Log.Debug("news", "object", j.Get("object").Raw)
-	return staged(j.Get("object"), false, c.Staged)
+	return staged(j.Get("object"), false, c.tell)
 }
 
 // staged reads a state whole or not at all.
@@ -97,7 +142,7 @@
 	case !gjson.ValidBytes(answer):
 		err, how = errors.New("not valid JSON"), balance.TimedOut
 	case status == 200:
-		if err = staged(gjson.ParseBytes(answer), true, c.Staged); err != nil {
+		if err = staged(gjson.ParseBytes(answer), true, c.tell); err != nil {
 			how = balance.TimedOut
 		}
 	case known && gjson.GetBytes(answer, "error").Str == refused.word:
--- a/internal/platform/heads.go
+++ b/internal/platform/heads.go
@@ -1,7 +1,9 @@
 package platform
 
 import (
+	"errors"
 	"net/textproto"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -28,7 +30,7 @@
 		return a, front.Refused(404, "no operation of this name in X-Qos")
 	}
 	path, _, _ := strings.Cut(h.Target, "?")
-	if first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/"); first != class {
+	if !begins(path, class) {
 		return a, front.Refused(404, "path and X-Qos name different operations")
 	}
 	method := "GET"
@@ -48,8 +50,8 @@
 	}
 	a.Limit = c.Set.Operation[a.Op].LimitMs
 	if text, given := h.Header["X-Expires-In-Ms"]; given {
-		ms, err := strconv.ParseUint(text[0], 10, 32)
-		if err != nil || len(text) > 1 {
+		ms, err := strconv.ParseUint(text[0], 10, 64)
+		if err != nil && !errors.Is(err, strconv.ErrRange) || len(text) > 1 { // more than can be counted is longer than any limit
 			return a, front.Refused(400, "X-Expires-In-Ms is no number of whole milliseconds")
 		}
 		a.Limit = min(a.Limit, float64(ms))
@@ -67,6 +69,19 @@
 	return a, nil
 }
 
+// begins says that a path's first part is a class, written as it is or escaped; its name may hold what ends a part.
+func begins(path, class string) bool {
+	is := func(path string) bool {
+		rest, ok := strings.CutPrefix(path, "/"+class)
+		return ok && (rest == "" || rest[0] == '/')
+	}
+	if is(path) {
+		return true
+	}
+	plain, err := url.PathUnescape(path)
+	return err == nil && is(plain)
+}
+
 // single is the value of a header that stands there once.
 func single(h textproto.MIMEHeader, name string) (string, bool) {
 	if v := h[name]; len(v) == 1 {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -35,19 +35,20 @@
 			Known:     known,
 			FirstList: firstListMs * time.Millisecond,
 			Strict:    true,
+			Settle:    settleMs * time.Millisecond,
 			Reports:   reports,
 			Roster: func(listed func(bool, []control.Line), _ func()) serve.Roster {
 				m.roster = &Roster{endpoint: endpoint{address: c.Discovery}, Log: log, Listed: listed, read: c.reader(log)}
 				return m.roster
 			},
 			Conveyor: func(told Staged, failed func(balance.Ending)) serve.Conveyor {
+				m.conveyor = &Conveyor{endpoint: endpoint{address: c.API}, Log: log, Staged: told, Failed: failed,
+					Patience: time.Duration(c.Set.Rollout.VoteTimeoutMs * float64(time.Millisecond))}
 				if c.news.IsObject() {
-					if err := staged(c.news, false, told); err != nil {
+					if err := staged(c.news, false, m.conveyor.tell); err != nil {
 						log.Warn("the news in the configuration is of no use", "err", err)
 					}
 				}
-				m.conveyor = &Conveyor{endpoint: endpoint{address: c.API}, Log: log, Staged: told, Failed: failed,
-					Patience: time.Duration(c.Set.Rollout.VoteTimeoutMs * float64(time.Millisecond))}
 				return m.conveyor
 			},
 		},
--- a/internal/seats/seats.go
+++ b/internal/seats/seats.go
@@ -9,6 +9,9 @@
 	mayAsk    = 300.0  // ms in which a client that has connected is taken to be about to ask
 )
 
+// Least is the fewest descriptors with which a marshal can serve: what is kept, and some for each side.
+const Least = kept + 16
+
 // Divide divides descriptors between connections of clients and to nodes.
 func Divide(descriptors int) (toClients, toNodes int) {
 	rest := max(descriptors-kept, 4)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -101,6 +101,7 @@
 	Strict          bool              // back.Pool's
 	Reports         map[string]string // its names
 	NodeConnections int               // its bound on all
+	Settle          time.Duration     // its
 	Known           []control.Line
 	FirstList       time.Duration // how long the marshal waits for the roster's first list before it takes invocations
 	Roster          func(listed func(whole bool, lines []control.Line), failed func()) Roster
@@ -180,7 +181,7 @@
 		return nil, err
 	}
 	if w := hooks.Ways; w != nil {
-		m.pool.Strict, m.pool.Names, m.pool.All = w.Strict, w.Reports, w.NodeConnections
+		m.pool.Strict, m.pool.Names, m.pool.All, m.pool.Settle = w.Strict, w.Reports, w.NodeConnections, w.Settle
 		if w.Peers != nil {
 			p, err := w.Peers(m.told)
 			if err != nil {
@@ -570,12 +571,15 @@
 	}
 }
 
+// sweepLeast is between two looks at unused connections, where they are hardly kept at all.
+const sweepLeast = 100 * time.Millisecond
+
 func (m *Marshal) sweep(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(m.pool.Idle/2 + time.Millisecond):
+		case <-time.After(max(m.pool.Idle/2, sweepLeast)):
 			m.pool.Sweep()
 		}
 	}
