Tests of late answers, overtaken states, other customers' settings; GW_ variables are read

Change: what the environment says counts where the configuration does not say it; where both say and differ, that is logged and the configuration counts. Tests: TestSettle and the endings of a request written in part (back), TestOvertaken, TestOtherCustomers, TestEnvironment (platform).

--- a/cmd/arrowcleat/platform.go
+++ b/cmd/arrowcleat/platform.go
@@ -49,7 +49,7 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
-	c, err := platform.Read(path)
+	c, err := platform.Read(path, os.Getenv)
 	if err != nil {
 		return badInput{err}
 	}
@@ -61,6 +61,9 @@
 	}
 	c.Set.Log.Level = level
 	log := logger(os.Stderr, c.Set.Log, &at)
+	for _, text := range c.Differs {
+		log.Warn("the environment differs", "what", text)
+	}
 	stop, done := signals(&at, log)
 	defer done()
 	m, err := platform.Start(c, log)
@@ -77,7 +80,7 @@
 			}
 			continue
 		case <-hup:
-			next, err := platform.Read(path)
+			next, err := platform.Read(path, os.Getenv)
 			if err != nil {
 				log.Error("configuration not taken", "err", err)
 				continue
--- a/internal/back/back_test.go
+++ b/internal/back/back_test.go
@@ -37,6 +37,9 @@
 		{"time over before a byte", Fate{Dialed: true, Err: deadline, Expired: true}, balance.Ignored, false},
 		{"no byte taken", Fate{Dialed: true, Err: syscall.EPIPE}, balance.NoConnect, false},
 		{"one byte taken", Fate{Dialed: true, Wrote: 1, Err: syscall.EPIPE}, balance.Reset, true},
+		{"part taken", Fate{Dialed: true, Wrote: 1, Part: true, Err: syscall.EPIPE}, balance.NoConnect, false},
+		{"time over with part taken", Fate{Dialed: true, Wrote: 1, Part: true, Err: deadline, Expired: true}, balance.Ignored, false},
+		{"cancelled with part taken", Fate{Dialed: true, Wrote: 1, Part: true, Err: deadline, Canceled: true}, balance.Ignored, false},
 		{"closed without an answer", Fate{Dialed: true, Wrote: 9, Err: io.EOF}, balance.Reset, true},
 		{"reset", Fate{Dialed: true, Wrote: 9, Err: syscall.ECONNRESET}, balance.Reset, true},
 		{"time over after a byte", Fate{Dialed: true, Wrote: 9, Err: deadline, Expired: true}, balance.TimedOut, true},
@@ -164,3 +167,44 @@
 		t.Error("a cancelled dial gave a connection")
 	}
 }
+
+// A connection rests after its answer: one that rests longer goes first, and what comes late ends it before it is used.
+func TestSettle(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	p := &Pool{Idle: time.Minute, Most: 9, Settle: 80 * time.Millisecond, Dial: time.Second}
+	defer p.Close()
+	get := func() (*Conn, net.Conn) {
+		c, err := p.Get(context.Background(), ln.Addr().String(), true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		there, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c, there
+	}
+	first, there := get()
+	defer there.Close()
+	p.Put(first)
+	if p.Kept(first.address) != nil {
+		t.Error("one that has not rested is used")
+	}
+	time.Sleep(p.Settle)
+	second, there2 := get()
+	defer there2.Close()
+	p.Put(second)
+	if got := p.Kept(first.address); got != first {
+		t.Error("the one that has rested is not used")
+	}
+	io.WriteString(there2, "late")
+	time.Sleep(p.Settle)
+	if p.Kept(first.address) != nil || !second.closed.Load() {
+		t.Error("one on which something came late is used")
+	}
+	p.Put(first)
+}
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -41,6 +41,7 @@
 	API       string
 	Cores     float64
 	MemoryMB  float64
+	Differs   []string // what the environment says otherwise; the configuration counts
 
 	news   gjson.Result
 	known  gjson.Result
@@ -50,20 +51,24 @@
 	names  *names
 }
 
-// Read reads a configuration. The error names the field that is missing or wrong.
-func Read(path string) (*Config, error) {
+// variables say in the environment what fields of the configuration say.
+var variables = map[string]string{"name": "GW_NAME", "listen": "GW_LISTEN", "discovery": "GW_DISCOVERY"}
+
+// Read reads a configuration. The error names the field that is missing or wrong. What the environment says counts where the
+// configuration does not say it.
+func Read(path string, environment func(variable string) string) (*Config, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	c, err := parse(string(text))
+	c, err := parse(string(text), environment)
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	return c, nil
 }
 
-func parse(text string) (*Config, error) {
+func parse(text string, environment func(string) string) (*Config, error) {
 	if !gjson.Valid(text) {
 		return nil, errors.New("not valid JSON")
 	}
@@ -71,7 +76,9 @@
 	for name, t := range map[string]gjson.Type{"listen": gjson.String, "discovery": gjson.String, "seed": gjson.String,
 		"release_api.address": gjson.String, "settings": gjson.JSON, "limits.sockets": gjson.Number,
 		"limits.memory_mb": gjson.Number, "limits.cores": gjson.Number} {
-		if v := j.Get(name); !v.Exists() {
+		if v := j.Get(name); !v.Exists() && variables[name] != "" && environment(variables[name]) != "" {
+			continue
+		} else if !v.Exists() {
 			return nil, fmt.Errorf("%s: missing", name)
 		} else if v.Type != t {
 			return nil, fmt.Errorf("%s: not of the type %v", name, t)
@@ -81,7 +88,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("seed: %.40q is no number of 64 bits in hex", j.Get("seed").Str)
 	}
-	c := &Config{Module: brief.Settings(j.Get("settings")), Discovery: j.Get("discovery").Str,
+	said := func(name string) string {
+		if v := j.Get(name); v.Exists() {
+			return v.Str
+		}
+		return environment(variables[name])
+	}
+	c := &Config{Module: brief.Settings(j.Get("settings")), Discovery: said("discovery"),
 		API: j.Get("release_api.address").Str, Cores: j.Get("limits.cores").Num, MemoryMB: j.Get("limits.memory_mb").Num,
 		news: j.Get("release_api.news"), known: j.Get("known"), listen: j.Get("peer_listen").Str,
 		all: j.Get("peers_all").Str}
@@ -90,7 +103,12 @@
 			return nil, fmt.Errorf("%s: %v is too little: at least %v", name, v, least)
 		}
 	}
-	for _, a := range map[string]string{"listen": j.Get("listen").Str, "discovery": c.Discovery, "release_api.address": c.API} {
+	for name, variable := range variables {
+		if other := environment(variable); other != "" && j.Get(name).Exists() && other != j.Get(name).Str {
+			c.Differs = append(c.Differs, fmt.Sprintf("%s says %q, the configuration %q", variable, other, j.Get(name).Str))
+		}
+	}
+	for _, a := range map[string]string{"listen": said("listen"), "discovery": c.Discovery, "release_api.address": c.API} {
 		if _, _, err := net.SplitHostPort(a); err != nil {
 			return nil, fmt.Errorf("%.60q is no host:port", a)
 		}
@@ -101,7 +119,7 @@
 	if may, _ := c.Module["limits.may-tell"].(bool); !may {
 		c.listen = ""
 	}
-	c.Set, err = c.settings(j.Get("listen").Str, int(j.Get("limits.sockets").Num))
+	c.Set, err = c.settings(said("listen"), int(j.Get("limits.sockets").Num))
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/textproto"
+	"net/url"
 	"strings"
 	"sync"
 	"testing"
@@ -36,9 +37,12 @@
 {"name":"book","aim-s":0.4,"deadline-s":0.8,"repeat":"guarded","group":"zone","window-s":8.0}],
 "tenants":[{"name":"acme","quota-per-s":10.0},{"name":"zenith","quota-per-s":10.0}]}}`
 
+// nothing is said in the environment.
+func nothing(string) string { return "" }
+
 func config(t *testing.T, listen, discovery, datagrams, api string) *Config {
 	t.Helper()
-	c, err := parse(fmt.Sprintf(text, listen, discovery, datagrams, api))
+	c, err := parse(fmt.Sprintf(text, listen, discovery, datagrams, api), nothing)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -47,7 +51,7 @@
 
 func TestConfiguration(t *testing.T) {
 	good := fmt.Sprintf(text, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4")
-	c, err := parse(good)
+	c, err := parse(good, nothing)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -70,9 +74,11 @@
 		{`"locality":1`, `"locality":2`}:            "the own zone, 2, is none of 2",
 		{`"repeat":"free"`, `"repeat":"perhaps"`}:   `operation "look"`,
 		{`"address":"127.0.0.1:4"`, `"address":""`}: "no host:port",
+		{`"sockets":256`, `"sockets":20`}:           "limits.sockets: 20 is too little: at least 80",
+		{`"memory_mb":64`, `"memory_mb":0`}:         "limits.memory_mb: 0 is too little: at least 8",
 		{`{"name":"n0"`, `"name":"n0"`}:             "not valid JSON",
 	} {
-		if _, err := parse(strings.Replace(good, change[0], change[1], 1)); err == nil || !strings.Contains(err.Error(), want) ||
+		if _, err := parse(strings.Replace(good, change[0], change[1], 1), nothing); err == nil || !strings.Contains(err.Error(), want) ||
 			strings.Contains(err.Error(), "\n") {
 			t.Errorf("%q for %q: %v; want %q", change[1], change[0], err, want)
 		}
@@ -112,6 +118,126 @@
 	}
 }
 
+// What the environment says counts where the configuration does not say it; where both do and differ, that is told.
+func TestEnvironment(t *testing.T) {
+	good := fmt.Sprintf(text, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4")
+	says := map[string]string{"GW_NAME": "n7", "GW_LISTEN": "127.0.0.1:1", "GW_DISCOVERY": "127.0.0.1:9"}
+	environment := func(variable string) string { return says[variable] }
+	c, err := parse(good, environment)
+	if err != nil || c.Discovery != "127.0.0.1:2" || len(c.Differs) != 2 {
+		t.Errorf("%v, %v", err, c)
+	}
+	less := strings.NewReplacer(`"listen":"127.0.0.1:1",`, "", `"discovery":"127.0.0.1:2",`, "").Replace(good)
+	c, err = parse(less, environment)
+	if err != nil || c.Discovery != "127.0.0.1:9" || c.Set.Listen.Invocations != "127.0.0.1:1" || len(c.Differs) != 1 {
+		t.Errorf("%v, %v", err, c)
+	}
+	says["GW_LISTEN"] = "nowhere"
+	if _, err = parse(less, environment); err == nil || !strings.Contains(err.Error(), "no host:port") {
+		t.Error(err)
+	}
+}
+
+// Settings of other customers: names that are other names' beginnings or hold odd characters, parts left out, figures out of
+// any use. A marshal reads them, or says in one line what is wrong.
+func TestOtherCustomers(t *testing.T) {
+	good := fmt.Sprintf(text, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4")
+	change := func(from, to string) string {
+		changed := strings.Replace(good, from, to, 1)
+		if changed == good {
+			t.Fatalf("%s is not there", from)
+		}
+		return changed
+	}
+	for name, text := range map[string]string{
+		"no zones": change(`"locality":1,"zones":["here","there"],`, ``),
+		"no tenants": change(`,
+"tenants":[{"name":"acme","quota-per-s":10.0},{"name":"zenith","quota-per-s":10.0}]`, ``),
+		"no models":        change(`"models":["m1","m2"],`, ``),
+		"no limits":        change(`"limits":{"most-tries":3,"may-tell":true,"conn-idle-s":30.0,"dial-timeout-s":0.25},`, ``),
+		"no rules":         change(`"rules":{"stop-sending-within-s":0.5,"warm-up-s":3.0},`, ``),
+		"no call time":     change(`"api-timeout-s":0.3,`, ``),
+		"no news":          change(`"news":{`, `"other":{`),
+		"largest seed":     change(`8c1f30d27a5be964`, `ffffffffffffffff`),
+		"short deadline":   change(`"deadline-s":1.0`, `"deadline-s":0.03`),
+		"very long one":    change(`"deadline-s":1.0`, `"deadline-s":86400`),
+		"many descriptors": change(`"sockets":256`, `"sockets":1048576`),
+	} {
+		c, err := parse(text, nothing)
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		times := c.Set.Times
+		if times.DialMs <= 0 || c.Set.Rollout.VoteTimeoutMs <= 0 || len(c.Set.Zone) == 0 || c.Set.Limits.Connections == 0 {
+			t.Errorf("%s: %v", name, c.Set)
+		}
+		balance.New(&silentHost{}, c.Module, c.Set.Seed).Listed(true, []balance.Node{{ID: 1, Ver: 1}})
+	}
+	c := config(t, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4")
+	for _, class := range []string{"look", "look-up", "a/b", "50%", "ü b", "%2f"} {
+		c.Set.Operation[0].Name = class
+		for path, want := range map[string]bool{"/" + class: true, "/" + class + "/1?x=/y": true, "/" + class + "z": false,
+			"/" + url.PathEscape(class) + "/x": true, "/x/" + class: false, "": false} {
+			if _, err := c.asked(&h1.Head{Method: "GET", Target: path, Header: textproto.MIMEHeader{"X-Trace-Id": {"1"},
+				"X-Qos": {class}, "X-Expires-In-Ms": {"99999999999999999999999"}}}); (err == nil) != want {
+				t.Errorf("class %q at %q: %v", class, path, err)
+			}
+		}
+	}
+}
+
+// silentHost does nothing.
+type silentHost struct{}
+
+func (silentHost) Now() float64                     { return 1e6 }
+func (silentHost) Dispatch(string, uint32, float64) {}
+func (silentHost) Cancel(string, int)               {}
+func (silentHost) Throttle(string, float64)         {}
+func (silentHost) Terminate(string)                 {}
+func (silentHost) Probe(uint32)                     {}
+func (silentHost) Fetch()                           {}
+func (silentHost) Watch(bool)                       {}
+func (silentHost) Vote(int, int, balance.Verdict)   {}
+func (silentHost) Wake(float64, int64)              {}
+func (silentHost) Tell(int, string)                 {}
+func (silentHost) Log(string)                       {}
+
+// What a vote's answer says of a build that the stream has told more of since is dropped, and a reply tells what stands.
+func TestOvertaken(t *testing.T) {
+	var got string
+	c := &Conveyor{Patience: time.Second, Staged: func(ver, stage int, phase balance.Phase, cap, age float64, reply bool) {
+		got = fmt.Sprintf("%d/%d/%d/%v/%v", ver, stage, phase, cap, reply)
+	}}
+	for i, x := range []struct {
+		ver, stage int
+		phase      balance.Phase
+		cap, age   float64
+		reply      bool
+		want       string
+	}{
+		{7, 0, balance.OnTrial, 0.1, 500, false, "7/0/0/0.1/false"},
+		{7, 1, balance.OnTrial, 0.4, 0, false, "7/1/0/0.4/false"},
+		{7, 0, balance.OnTrial, 0.1, 700, true, "7/1/0/0.4/true"}, // given before, come after
+		{7, 1, balance.GoingBack, 0, 0, false, "7/1/1/0/false"},
+		{7, 1, balance.OnTrial, 0.4, 100, false, ""},
+		{7, 1, balance.OnTrial, 0.4, 100, true, "7/1/1/0/true"},
+		{6, 2, balance.Released, 1, 0, true, "7/1/1/0/true"},
+		{7, 1, balance.Withdrawn, 0, 0, false, "7/1/3/0/false"},
+		{8, 0, balance.OnTrial, 0.1, 0, true, "8/0/0/0.1/true"},
+	} {
+		got = ""
+		if c.tell(x.ver, x.stage, x.phase, x.cap, x.age, x.reply); got != x.want {
+			t.Errorf("%d: told %q, want %q", i, got, x.want)
+		}
+	}
+	c.last.since = time.Now().Add(-3 * time.Second) // a state that began well after is news, whatever it says
+	c.last.phase = balance.GoingBack
+	if c.tell(8, 0, balance.OnTrial, 0.1, 0, false); got != "8/0/0/0.1/false" {
+		t.Errorf("told %q of a build on trial once more", got)
+	}
+}
+
 // surroundings are stand-ins of the platform on loopback.
 type surroundings struct {
 	api, discovery, moved *httptest.Server
