Renames: connection limits, eviction, drain, Retry-After, in the field's words

Need: house words hid standard concepts. Change, nothing else: package seats is connlimit, a seat a Conn, Yield Evict; the front's Leave and leaving are Drain and draining (platform's Leave too), comeBack there is retryAfter; the log says draining. Tests of the packages touched pass.

--- a/cmd/arrowcleat/platform.go
+++ b/cmd/arrowcleat/platform.go
@@ -90,12 +90,12 @@
 			continue
 		case <-m.Ended():
 		case s := <-stop:
-			log.Warn("leaving", "signal", s.String(), "open", m.Front.Open())
+			log.Warn("draining", "signal", s.String(), "open", m.Front.Open())
 			go func() {
 				<-stop
 				m.End()
 			}()
-			m.Leave()
+			m.Drain()
 		}
 		break
 	}
--- a/internal/seats/seats.go
+++ b/internal/connlimit/connlimit.go
@@ -1,6 +1,6 @@
-// Package seats decides how a marshal's descriptors are divided, and which client's connection gives way to a new one
+// Package connlimit decides how a marshal's descriptors are divided, and which client's connection gives way to a new one
 // when its part is full. It is free of I/O; times are ms.
-package seats
+package connlimit
 
 const (
 	kept      = 64     // descriptors for all that is neither a client's nor a node's connection
@@ -19,18 +19,18 @@
 	return toClients, rest - toClients
 }
 
-// Seat is one client's connection.
-type Seat struct {
+// Conn is one client's connection.
+type Conn struct {
 	Since  float64 // ms since its last answer, or since it was opened if it never had one
 	Served bool    // it had an answer
 	Busy   bool    // an invocation is open on it, or something came that is not read yet
 }
 
-// Yield says which connection gives way to a new one, or -1. One that never asked for anything goes first, the oldest
+// Evict says which connection gives way to a new one, or -1. One that never asked for anything goes first, the oldest
 // of them: it guards against clients that connect by hundreds and say nothing. It may hurt a client that opens a
 // connection long before it asks; one that has just come is left alone, or of many that come at once each would put
 // out the one before, with a request on its way. Then goes the one unused for longest.
-func Yield(all []Seat) int {
+func Evict(all []Conn) int {
 	oldest := func(served bool, least float64) int {
 		at := -1
 		for i, s := range all {
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -112,12 +112,12 @@
 func (x *exchange) loop() *loop.Loop    { return x.c.s.Loops[x.at.Load()] }
 
 type command struct {
-	x        *exchange
-	what     int
-	no       int
-	address  string
-	within   float64
-	comeBack float64
+	x          *exchange
+	what       int
+	no         int
+	address    string
+	within     float64
+	retryAfter float64
 }
 
 const (
@@ -159,9 +159,11 @@
 	}
 }
 
-func (x *exchange) Throttle(comeBack float64) { x.final(command{what: doThrottle, comeBack: comeBack}) }
-func (x *exchange) Terminate()                { x.final(command{what: doTerminate}) }
-func (x *exchange) Abrupt()                   { x.final(command{what: doTerminate}) }
+func (x *exchange) Throttle(retryAfter float64) {
+	x.final(command{what: doThrottle, retryAfter: retryAfter})
+}
+func (x *exchange) Terminate() { x.final(command{what: doTerminate}) }
+func (x *exchange) Abrupt()    { x.final(command{what: doTerminate}) }
 
 // Let gives up what is out: nobody waits for it any more, and a connection that comes up late must carry nothing.
 func (x *exchange) Let() {
@@ -305,7 +307,7 @@
 				return keep
 			}
 		case doThrottle:
-			err := x.c.plain(503, Throttled, "throttled: trying again is harmless", x.ends(), s.comeBack(cmd.comeBack)...)
+			err := x.c.plain(503, Throttled, "throttled: trying again is harmless", x.ends(), s.retryAfter(cmd.retryAfter)...)
 			return err == nil && !x.ends()
 		case doTerminate:
 			err := x.c.plain(x.terminated(), Terminated, "terminated: what it did is not known", x.ends())
@@ -331,7 +333,7 @@
 
 // ends says that the connection can't go on after this answer: the client asked so, or part of the body is unread.
 func (x *exchange) ends() bool {
-	return x.last || x.body != nil && !x.body.Done() || x.c.s.stopping.Load() || x.c.s.leaving.Load()
+	return x.last || x.body != nil && !x.body.Done() || x.c.s.stopping.Load() || x.c.s.draining.Load()
 }
 
 // dispatch sends the invocation to a node and waits for what becomes of it.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,10 +17,10 @@
 	"arrowcleat/balance"
 	"arrowcleat/divide"
 	"arrowcleat/internal/back"
+	"arrowcleat/internal/connlimit"
 	"arrowcleat/internal/h1"
 	"arrowcleat/internal/loop"
 	"arrowcleat/internal/marshal"
-	"arrowcleat/internal/seats"
 	"arrowcleat/internal/settings"
 )
 
@@ -45,14 +45,14 @@
 	Terms Terms
 
 	ids       sync.Map     // of the requests that are open
-	leaving   atomic.Bool  // every connection ends with its next answer
+	draining  atomic.Bool  // every connection ends with its next answer
 	parting   atomic.Int64 // connections turned away that still hold a descriptor
 	now       atomic.Pointer[settings.Settings]
 	lns       []Listener
 	mu        sync.Mutex
 	conns     map[*conn]bool
 	listening int            // listeners that are not closed
-	yielding  int            // of them, those that give way and are not yet closed
+	evicting  int            // of them, those that give way and are not yet closed
 	homes     []atomic.Int64 // connections of each core
 	moved     atomic.Int64   // invocations that another core took
 	wg        sync.WaitGroup
@@ -172,9 +172,9 @@
 		c.by = time.Now().Add(ms(s.Terms.FirstMs))
 	}
 	s.mu.Lock()
-	full := len(s.conns)-s.yielding >= int(s.Current().Limits.Connections)
-	if full && s.Terms.FirstMs > 0 && s.yielding < mostParting {
-		full = !s.yield()
+	full := len(s.conns)-s.evicting >= int(s.Current().Limits.Connections)
+	if full && s.Terms.FirstMs > 0 && s.evicting < mostParting {
+		full = !s.evict()
 	}
 	if !full {
 		s.conns[c] = true
@@ -226,35 +226,35 @@
 	}()
 }
 
-// yield has a connection give way to a new one; s.mu is held. It says whether one does.
-func (s *Server) yield() bool {
+// evict has a connection give way to a new one; s.mu is held. It says whether one does.
+func (s *Server) evict() bool {
 	now := int64(s.Clock.Now())
 	var conns []*conn
-	var all []seats.Seat
+	var all []connlimit.Conn
 	for c := range s.conns {
-		if !c.yielded {
+		if !c.evicted {
 			conns = append(conns, c)
-			all = append(all, seats.Seat{Since: float64(now - c.quietSince.Load()), Served: c.served.Load(), Busy: c.open.Load() > 0})
+			all = append(all, connlimit.Conn{Since: float64(now - c.quietSince.Load()), Served: c.served.Load(), Busy: c.open.Load() > 0})
 		}
 	}
-	i := seats.Yield(all)
+	i := connlimit.Evict(all)
 	for i >= 0 && back.Unread(conns[i].nc) { // its request is here already
 		all[i].Busy = true
-		i = seats.Yield(all)
+		i = connlimit.Evict(all)
 	}
 	if i < 0 {
 		return false
 	}
 	c := conns[i]
-	c.yielded = true
-	s.yielding++
+	c.evicted = true
+	s.evicting++
 	c.ended.Store(true)
 	c.nc.SetReadDeadline(time.Unix(1, 0)) // wakes the reader, which then closes
 	return true
 }
 
-// Leave lets every connection end with its next answer; all that comes is still served, until Stop.
-func (s *Server) Leave() { s.leaving.Store(true) }
+// Drain lets every connection end with its next answer; all that comes is still served, until Stop.
+func (s *Server) Drain() { s.draining.Store(true) }
 
 // Stop takes nothing new: no connection, and no invocation on those there are.
 func (s *Server) Stop() {
@@ -362,7 +362,7 @@
 	noBody   bool        // the request being worked on is a HEAD
 	id       string      // of the request that is open, until its answer begins
 	by       time.Time   // when the first request must be whole; zero once it is, or for no bound
-	yielded  bool        // it gives way to another; s.mu
+	evicted  bool        // it gives way to another; s.mu
 	served   atomic.Bool // it had an answer
 	// quietSince is when it was opened or had its last answer, in ms of the clock.
 	quietSince atomic.Int64
@@ -506,8 +506,8 @@
 	c.nc.Close()
 	c.s.mu.Lock()
 	delete(c.s.conns, c)
-	if c.yielded {
-		c.s.yielding--
+	if c.evicted {
+		c.s.evicting--
 	}
 	c.s.homes[c.home].Add(-1)
 	c.s.mu.Unlock()
--- a/internal/front/terms.go
+++ b/internal/front/terms.go
@@ -11,12 +11,12 @@
 
 // Terms are what a protocol asks of the clients' side beyond its settings; the zero value is the project's own.
 type Terms struct {
-	Read     func(h *h1.Head) (Asked, error)        // nil: by the names that settings give
-	Health   string                                 // a path at which the marshal says that it serves
-	MostBody int64                                  // bytes of a body, of a request or an answer; longer ones are errors. 0: they are streamed
-	FirstMs  float64                                // from a connection's opening to its first whole request; 0: as for any other
-	ComeBack func(ms float64) (field, value string) // when a throttled client may come back
-	Quiet    bool                                   // what nodes send ahead of an answer is not passed on
+	Read       func(h *h1.Head) (Asked, error)        // nil: by the names that settings give
+	Health     string                                 // a path at which the marshal says that it serves
+	MostBody   int64                                  // bytes of a body, of a request or an answer; longer ones are errors. 0: they are streamed
+	FirstMs    float64                                // from a connection's opening to its first whole request; 0: as for any other
+	RetryAfter func(ms float64) (field, value string) // when a throttled client may come back
+	Quiet      bool                                   // what nodes send ahead of an answer is not passed on
 }
 
 // Asked is what a request asks for.
@@ -102,10 +102,10 @@
 // tooLong says that a body is known to be longer than the terms allow.
 func (s *Server) tooLong(length int64) bool { return s.Terms.MostBody > 0 && length > s.Terms.MostBody }
 
-// comeBack are the fields that say when to come back.
-func (s *Server) comeBack(ms float64) []string {
-	if s.Terms.ComeBack != nil {
-		field, value := s.Terms.ComeBack(ms)
+// retryAfter are the fields that say when to come back.
+func (s *Server) retryAfter(ms float64) []string {
+	if s.Terms.RetryAfter != nil {
+		field, value := s.Terms.RetryAfter(ms)
 		return []string{field, value}
 	}
 	return []string{"Retry-After", strconv.Itoa(max(1, int(ms/1000+0.999))), "Retry-After-Ms", fmt.Sprintf("%.0f", ms)}
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -15,8 +15,8 @@
 
 	"arrowcleat/balance"
 	"arrowcleat/internal/brief"
+	"arrowcleat/internal/connlimit"
 	"arrowcleat/internal/control"
-	"arrowcleat/internal/seats"
 	"arrowcleat/internal/settings"
 )
 
@@ -28,7 +28,7 @@
 	firstListMs  = 1000     // for discovery's agent, which is on this machine and answers at once unless it is silent
 	settleMs     = 20       // a second answer may come some ms behind the first
 	idleMs       = 120000.0 // a connection that has served is kept while there is room
-	leaveMs      = 600.0    // after TERM, in which new connections go on coming
+	drainMs      = 600.0    // after TERM, in which new connections go on coming
 	callMs       = 1000.0   // to connect to a node, or for a vote, where settings bound it by nothing
 	restMs       = 700.0    // beyond the longest limit, until KILL comes
 )
@@ -98,7 +98,7 @@
 		API: j.Get("release_api.address").Str, Cores: j.Get("limits.cores").Num, MemoryMB: j.Get("limits.memory_mb").Num,
 		news: j.Get("release_api.news"), known: j.Get("known"), listen: j.Get("peer_listen").Str,
 		all: j.Get("peers_all").Str}
-	for name, least := range map[string]float64{"limits.sockets": seats.Least, "limits.memory_mb": 8, "limits.cores": 0.001} {
+	for name, least := range map[string]float64{"limits.sockets": connlimit.Least, "limits.memory_mb": 8, "limits.cores": 0.001} {
 		if v := j.Get(name).Num; v < least {
 			return nil, fmt.Errorf("%s: %v is too little: at least %v", name, v, least)
 		}
@@ -149,7 +149,7 @@
 	if zone < 0 || zone >= len(zones) {
 		return nil, fmt.Errorf("the own zone, %d, is none of %d", zone, len(zones))
 	}
-	clients, nodes := seats.Divide(sockets)
+	clients, nodes := connlimit.Divide(sockets)
 	s := &settings.Settings{
 		Instance: &settings.Instance{Number: uint32(num("number")), Marshals: uint32(num("marshals")), Zone: zones[zone]},
 		Listen:   &settings.Listen{Invocations: listen},
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -30,7 +30,7 @@
 	m := &Marshal{}
 	hooks := serve.Hooks{
 		Ways: &serve.Ways{
-			Terms:     front.Terms{Read: c.asked, Health: "/healthz", MostBody: mostBody, FirstMs: firstMs, ComeBack: c.comeBack, Quiet: true},
+			Terms:     front.Terms{Read: c.asked, Health: "/healthz", MostBody: mostBody, FirstMs: firstMs, RetryAfter: c.retryAfter, Quiet: true},
 			Settings:  c.Module,
 			Known:     known,
 			FirstList: firstListMs * time.Millisecond,
@@ -61,8 +61,8 @@
 	return m, err
 }
 
-// comeBack says when to come back, in seconds with decimals, within what the settings allow.
-func (c *Config) comeBack(ms float64) (field, value string) {
+// retryAfter says when to come back, in seconds with decimals, within what the settings allow.
+func (c *Config) retryAfter(ms float64) (field, value string) {
 	if most, ok := c.Module["limits.max-retry-after-ms"].(float64); ok {
 		ms = min(ms, most)
 	}
@@ -75,11 +75,11 @@
 	m.conveyor.Move(c.API)
 }
 
-// Leave is a planned end: for as long as new connections go on coming all is served, and after that what was taken.
-func (m *Marshal) Leave() error {
-	m.Front.Leave()
+// Drain is a planned end: for as long as new connections go on coming all is served, and after that what was taken.
+func (m *Marshal) Drain() error {
+	m.Front.Drain()
 	select {
-	case <-time.After(leaveMs * time.Millisecond):
+	case <-time.After(drainMs * time.Millisecond):
 	case <-m.Ended():
 	}
 	return m.Stop()
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -63,7 +63,7 @@
 	}
 	c.Module["limits.max-retry-after-ms"] = 500.0
 	for ms, want := range map[float64]string{200: "0.200", 900: "0.500"} {
-		if _, got := c.comeBack(ms); got != want {
+		if _, got := c.retryAfter(ms); got != want {
 			t.Errorf("to come back after %v ms: %s, want %s", ms, got, want)
 		}
 	}
@@ -424,7 +424,7 @@
 
 // New addresses are followed at once; a marshal that leaves serves what comes for a while, ends its connections with
 // their next answer, and then ends.
-func TestMoveAndLeave(t *testing.T) {
+func TestMoveAndDrain(t *testing.T) {
 	s := surround(t, say(fine))
 	m, c := run(t, s)
 	next := *c
@@ -444,7 +444,7 @@
 		}
 	}
 	left := make(chan error)
-	go func() { left <- m.Leave() }()
+	go func() { left <- m.Drain() }()
 	time.Sleep(200 * time.Millisecond)
 	if status, body, err := ask(t, m, "late"); status != 200 || body != "fine" || err != nil {
 		t.Errorf("while it leaves: %d %q %v", status, body, err)
