--- a/balance/balance.go
+++ b/balance/balance.go
@@ -467,7 +467,6 @@
 		b.finish(inv)
 		return
 	}
-	inv.due = min(inv.due, b.ops[inv.op].until(d)) // however late its connection comes up
 	b.send(inv)
 }
 
@@ -491,7 +490,7 @@
 		fade(b.lateAt(n.Zone), how != Succeeded || took > b.sloOf(inv.op), 0.05)
 	}
 	failed := how == Failed || how == TimedOut && !d.short || how == Reset
-	if failed || how == NoConnect || how == Canceled && d.left { // else its client left, not the node's fault
+	if failed || how == NoConnect || how == Canceled {
 		n.good, n.bad = n.good*0.9, n.bad*0.9+1
 		// Of a trickle each node gets one in a while; a wait under that would spare it nothing.
 		least := max(500, b.serving(every)*(now-b.begun)/max(b.arrived, 1))
--- a/balance/state.go
+++ b/balance/state.go
@@ -51,14 +51,6 @@
 	memory, slo, value float64
 }
 
-// until is the time up to which repeats of a dispatch are dropped where it may have had an effect.
-func (o *operation) until(d *dispatch) float64 {
-	if d.ran && o.repeat == "fingerprinted" {
-		return d.sent + o.memory
-	}
-	return math.Inf(1)
-}
-
 // fleetState is of the nodes: as long as each of them is known.
 type fleetState struct {
 	nodes  map[uint32]*node
