Before each attempt the marshal looks whether its client has left

At fault: exchange.go, request: what was written next depended on who of reader and worker had its turn first after the marshal stood still.

Change: the socket is looked at (MSG_PEEK) before each attempt is written.

--- a/cmd/arrowcleat/platform_test.go
+++ b/cmd/arrowcleat/platform_test.go
@@ -35,7 +35,8 @@
 "settings":{"balancers":1,"me":0,"locality":0,"zones":["here"],"discovery":"automatic",
 "limits":{"most-tries":3,"conn-idle-s":30.0,"dial-timeout-s":0.25},"rules":{"stop-sending-within-s":0.5,"warm-up-s":3.0},
 "domain":{"api-timeout-s":0.3,"gate-mode":"first_voice"},
-"request-classes":[{"name":"look","aim-s":0.4,"deadline-s":1.5,"repeat":"free"}]}}`
+"request-classes":[{"name":"look","aim-s":0.4,"deadline-s":1.5,"repeat":"free"},
+{"name":"book","aim-s":0.4,"deadline-s":1.5,"repeat":"guarded","group":"zone","window-s":8.0}]}}`
 
 // follow is a server whose answers never end, and counts who asked.
 func follow(t *testing.T, line string) (address string, asked *atomic.Int64) {
@@ -101,6 +102,109 @@
 	}
 }
 
+// program is the program as a process, with its log and its configuration.
+type program struct {
+	*exec.Cmd
+	t             *testing.T
+	log           bytes.Buffer
+	file, address string
+}
+
+// run starts a marshal and waits until it serves.
+func run(t *testing.T, configured func(address string) string) *program {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &program{Cmd: exec.Command(os.Args[0], "platform"), t: t, address: ln.Addr().String(),
+		file: filepath.Join(t.TempDir(), "config.json")}
+	ln.Close()
+	p.write(configured(p.address))
+	p.Env = append(os.Environ(), "ARROWCLEAT_AS_PROGRAM=1", "GW_CONFIG="+p.file)
+	p.Stderr = &p.log
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.Process.Kill() })
+	p.until("it serves", func() bool {
+		r, err := http.Get("http://" + p.address + "/healthz")
+		if err == nil {
+			r.Body.Close()
+		}
+		return err == nil && r.StatusCode == 200
+	})
+	http.DefaultClient.CloseIdleConnections()
+	return p
+}
+
+func (p *program) write(text string) {
+	p.t.Helper()
+	if err := os.WriteFile(p.file, []byte(text), 0o644); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *program) until(what string, is func() bool) {
+	p.t.Helper()
+	for end := time.Now().Add(10 * time.Second); !is(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			p.Process.Kill()
+			p.Wait()
+			p.t.Fatalf("it never came that %s:\n%s", what, p.log.String())
+		}
+	}
+}
+
+// Clients that ask and leave while the process stands still are noticed before anything is sent on for them.
+func TestClientsLeaveWhileItStandsStill(t *testing.T) {
+	var got atomic.Int64
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		got.Add(1)
+		io.WriteString(w, "fine")
+	}))
+	defer node.Close()
+	list, _ := follow(t, fmt.Sprintf(`{"seq":1,"whole":true,"hosts":[{"host":"a","dial":%q,"site":"here","health":"in_service","build":7}]}`,
+		node.Listener.Addr()))
+	api, _ := follow(t, "{}\n")
+	p := run(t, func(address string) string { return fmt.Sprintf(configuration, address, list, api) })
+	for round := range 20 {
+		p.Process.Signal(syscall.SIGSTOP)
+		for i := range 5 {
+			c, err := net.Dial("tcp", p.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			fmt.Fprintf(c, "POST /book HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %d-%d\r\nX-Qos: book\r\nIdempotency-Key: %d-%d\r\n"+
+				"Content-Length: 2\r\n\r\nab", round, i, round, i)
+			c.Close()
+		}
+		p.Process.Signal(syscall.SIGCONT)
+		time.Sleep(20 * time.Millisecond)
+	}
+	p.until("all is over", func() bool { c := got.Load(); time.Sleep(20 * time.Millisecond); return got.Load() == c })
+	if n := got.Load(); n > 0 {
+		t.Errorf("%d of 100 requests of clients that had left reached the node", n)
+	}
+	asked := 0
+	p.until("it serves on", func() bool { // after so many that left it may refuse some
+		asked++
+		q, _ := http.NewRequest("GET", "http://"+p.address+"/look", nil)
+		q.Header = http.Header{"X-Trace-Id": {fmt.Sprint(asked)}, "X-Qos": {"look"}}
+		r, err := http.DefaultClient.Do(q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Body.Close()
+		return r.StatusCode == 200
+	})
+	http.DefaultClient.CloseIdleConnections()
+	p.Process.Signal(syscall.SIGTERM)
+	if err := p.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
 // Under requests a marshal takes configurations that can be read, two in a row and none that can't, and leaves at TERM with
 // every request answered.
 func TestSignalsUnderRequests(t *testing.T) {
@@ -117,47 +221,9 @@
 		lists[i], asked[i] = follow(t, list)
 	}
 	api, _ := follow(t, "{}\n")
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := ln.Addr().String()
-	ln.Close()
-	file := filepath.Join(t.TempDir(), "config.json")
-	write := func(text string) {
-		t.Helper()
-		if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	good := func(i int) string { return fmt.Sprintf(configuration, address, lists[i], api) }
-	write(good(0))
-	var log bytes.Buffer
-	p := exec.Command(os.Args[0], "platform")
-	p.Env = append(os.Environ(), "ARROWCLEAT_AS_PROGRAM=1", "GW_CONFIG="+file)
-	p.Stderr = &log
-	if err := p.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer p.Process.Kill()
-	until := func(what string, is func() bool) {
-		t.Helper()
-		for end := time.Now().Add(10 * time.Second); !is(); time.Sleep(2 * time.Millisecond) {
-			if time.Now().After(end) {
-				p.Process.Kill()
-				p.Wait()
-				t.Fatalf("it never came that %s:\n%s", what, log.String())
-			}
-		}
-	}
-	until("it serves", func() bool {
-		r, err := http.Get("http://" + address + "/healthz")
-		if err == nil {
-			r.Body.Close()
-		}
-		return err == nil && r.StatusCode == 200
-	})
-	http.DefaultClient.CloseIdleConnections()
+	p := run(t, func(address string) string { return fmt.Sprintf(configuration, address, lists[0], api) })
+	good := func(i int) string { return fmt.Sprintf(configuration, p.address, lists[i], api) }
+	address, write, until := p.address, p.write, p.until
 	var wg sync.WaitGroup
 	var answered atomic.Int64
 	for i := range 8 {
@@ -176,7 +242,7 @@
 		p.Process.Signal(syscall.SIGHUP)
 		more()
 	}
-	os.Remove(file)
+	os.Remove(p.file)
 	p.Process.Signal(syscall.SIGHUP)
 	more()
 	if asked[1].Load() > 0 {
@@ -190,12 +256,12 @@
 	until("the last address is asked", func() bool { return asked[2].Load() > 0 })
 	more()
 	p.Process.Signal(syscall.SIGTERM)
-	err = p.Wait()
+	err := p.Wait()
 	wg.Wait()
 	if err != nil {
 		t.Errorf("it ended with %v", err)
 	}
-	if n := strings.Count(log.String(), "configuration not taken"); n != 4 {
-		t.Errorf("%d configurations were not taken; want 4:\n%s", n, log.String())
+	if n := strings.Count(p.log.String(), "configuration not taken"); n != 4 {
+		t.Errorf("%d configurations were not taken; want 4:\n%s", n, p.log.String())
 	}
 }
--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -156,6 +156,16 @@
 	return unread
 }
 
+// Ended says that the other side has ended its sending, and that all it sent has been read.
+func Ended(nc net.Conn) (ended bool) {
+	onSocket(nc, func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ended = n == 0 && err == nil
+	})
+	return ended
+}
+
 // Drain reads what has come on a connection without waiting: closing it with something unread would reset it, and the
 // other side might lose what was written last.
 func Drain(nc net.Conn) {
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -410,6 +410,14 @@
 			f.Canceled, f.Err = true, errLate
 			return nil
 		}
+		// A client that has left may not be noticed yet: its reader has its turn after a marshal that stood still, as this
+		// worker has. It costs a look at the socket for each attempt.
+		if back.Ended(x.c.nc) {
+			x.c.s.Pool.Put(node)
+			x.c.leave()
+			f.Canceled, f.Err = true, errClient
+			return nil
+		}
 		f.Wrote, f.Err = x.writeTo(node, f)
 		if f.Err == nil {
 			return node
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -51,8 +51,8 @@
 	lns       []Listener
 	mu        sync.Mutex
 	conns     map[*conn]bool
-	listening int            // listeners that are not closed
 	evicting  int            // of them, those that give way and are not yet closed
+	listening int            // listeners that are not closed
 	homes     []atomic.Int64 // connections of each core
 	moved     atomic.Int64   // invocations that another core took
 	wg        sync.WaitGroup
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -101,7 +101,7 @@
 	Strict          bool              // back.Pool's
 	Reports         map[string]string // its names
 	NodeConnections int               // its bound on all
-	Settle          time.Duration     // its
+	Settle          time.Duration     // its rest between two requests on a connection
 	Known           []control.Line
 	FirstList       time.Duration // how long the marshal waits for the roster's first list before it takes invocations
 	Roster          func(listed func(whole bool, lines []control.Line), failed func()) Roster
