A listener that stops is waited for like the connections it brings

At fault: front.go: since the accept queue is emptied after the stop, connections were added to a group that was being waited for.

Change: listeners are in the group from the start; after Kill, or once Close has waited its time, nothing is accepted any more; a marshal told to stop before it has listeners stops them when it has.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -58,6 +58,7 @@
 	wg        sync.WaitGroup
 	open      atomic.Int64 // invocations between their head and their answer
 	stopping  atomic.Bool
+	killed    atomic.Bool // nothing is accepted any more, not even what the kernel has
 	via       string
 	limits    h1.Limits
 	names     names
@@ -91,9 +92,13 @@
 // Serve takes connections from all listeners until Stop.
 func (s *Server) Serve(lns []Listener) error {
 	s.prepare(lns)
-	ends := make(chan error)
+	if s.stopping.Load() { // it was told so before there was a listener
+		s.wake()
+	}
+	ends := make(chan error, len(lns))
 	for _, ln := range lns {
 		go func() {
+			defer s.wg.Done()
 			err := s.listen(ln)
 			s.mu.Lock()
 			s.listening--
@@ -140,7 +145,7 @@
 	defer ln.Close()
 	d, ok := ln.Listener.(deadlined)
 	end := time.Now().Add(10 * lastCall)
-	for idle := 0; ok && idle < 2 && time.Now().Before(end); { // one that stood still may find its deadline past before it has looked
+	for idle := 0; ok && !s.killed.Load() && idle < 2 && time.Now().Before(end); { // one that stood still may find its deadline past before it has looked
 		d.SetDeadline(time.Now().Add(lastCall))
 		if nc, err := ln.Accept(); err == nil {
 			s.accept(nc, ln.Name)
@@ -156,6 +161,7 @@
 	defer s.mu.Unlock()
 	s.lns, s.conns, s.homes = lns, map[*conn]bool{}, make([]atomic.Int64, len(s.Loops))
 	s.listening = len(lns)
+	s.wg.Add(len(lns)) // whoever waits for the connections waits for those that listeners may still bring
 	s.via = "1.1 marshal-" + strconv.Itoa(int(s.Current().Instance.Number))
 	s.limits = h1.Limits{Line: int(s.Current().Limits.LineBytes), Header: int(s.Current().Limits.HeaderBytes)}
 	h, canon := s.Current().Headers, textproto.CanonicalMIMEHeaderKey
@@ -172,6 +178,11 @@
 		c.by = time.Now().Add(ms(s.Terms.FirstMs))
 	}
 	s.mu.Lock()
+	if s.killed.Load() {
+		s.mu.Unlock()
+		nc.Close()
+		return
+	}
 	full := len(s.conns)-s.evicting >= int(s.Current().Limits.Connections)
 	if full && s.Terms.FirstMs > 0 && s.evicting < mostParting {
 		full = !s.evict()
@@ -181,6 +192,9 @@
 		c.home = divide.Seat(func(i int) int { return int(s.homes[i].Load()) }, len(s.Loops))
 		s.homes[c.home].Add(1)
 	}
+	if !full {
+		s.wg.Add(2)
+	}
 	s.mu.Unlock()
 	s.Counts.Connections.Add(1)
 	if full {
@@ -188,7 +202,6 @@
 		c.turnAway()
 		return
 	}
-	s.wg.Add(2)
 	go c.read()
 	go c.work()
 }
@@ -261,6 +274,11 @@
 	if s.stopping.Swap(true) {
 		return
 	}
+	s.wake()
+}
+
+// wake wakes the listeners, and the readers that wait for a request.
+func (s *Server) wake() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, ln := range s.lns {
@@ -290,6 +308,7 @@
 		return
 	case <-time.After(within):
 	}
+	s.killed.Store(true)
 	s.mu.Lock()
 	for c := range s.conns {
 		c.nc.Close()
@@ -311,6 +330,7 @@
 
 // Kill closes every socket at once, as the end of the process would.
 func (s *Server) Kill() {
+	s.killed.Store(true)
 	s.Stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
