--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -47,7 +47,6 @@
 	news     []func()
 	endings  []func()
 	arrivals []func()
-	posted   uint64 // calls put into any of them so far
 	stopped  bool
 
 	// Again, set before Run, lets it be called again after a panic: what waits is kept, timers are not.
@@ -82,19 +81,18 @@
 	l.poke()
 }
 
-// put queues a call and gives its number; 0 says that the loop has stopped.
-func (l *Loop) put(queue *[]func(), f func()) (number uint64) {
+// put queues a call; false says that the loop has stopped.
+func (l *Loop) put(queue *[]func(), f func()) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.stopped {
-		return 0
+		return false
 	}
 	*queue = append(*queue, f)
 	if queue == &l.news {
 		l.behold.Store(true)
 	}
-	l.posted++
-	return l.posted
+	return true
 }
 
 // News queues a call that goes before everything that waits: word of nodes and builds, which what waits must not be
@@ -104,10 +102,11 @@
 	l.poke()
 }
 
-// Do queues a call like Post, and runs it here and now if nobody else runs the loop and nothing else waits; the caller must
-// hold nothing that the call may want.
+// Do queues a call like Post, and runs it here and now if nobody else runs the loop; the caller must hold nothing that a
+// call may want.
 func (l *Loop) Do(f func()) {
-	l.help(l.put(&l.endings, f))
+	l.put(&l.endings, f)
+	l.help()
 }
 
 // Offer queues an arrival, or runs it like Do; false says that the queue is behind and nothing was taken.
@@ -117,15 +116,13 @@
 	if ok {
 		l.arrivals = append(l.arrivals, f)
 		l.queued.Add(1)
-		l.posted++
 	}
-	number := l.posted
 	l.mu.Unlock()
 	if !ok {
 		l.behind.Add(1)
 		return false
 	}
-	l.help(number)
+	l.help()
 	return true
 }
 
@@ -213,20 +210,26 @@
 	l.ended, l.meanwhile, l.arrived, l.timers = nil, nil, nil, nil
 }
 
-// help runs the call of this number on the goroutine that posted it, if nobody runs the loop just now and nothing else waits:
-// waking another goroutine for each call would cost more than most calls do. Nobody runs the calls of others: one of them may
-// stand still, and who posted this one may owe a client its answer in time.
-func (l *Loop) help(number uint64) {
-	if number == 0 || !l.turn.TryLock() {
-		return // who runs it looks again when it has done
-	}
-	if l.live && l.panicked == nil {
-		l.step(number)
-	}
-	wake := !l.live || l.panicked != nil || len(l.timers) > 0 && l.timers[0].at < l.armed || l.waits()
-	l.turn.Unlock()
-	if wake || l.waits() {
-		l.poke()
+// most is how many calls who posted one runs at most before the loop's own goroutine takes over.
+const most = 16
+
+// help runs what waits on the goroutine that posted it, if nobody runs the loop just now: waking another goroutine for
+// each call would cost more than most calls do. Still one call runs at a time, in the loop's order.
+func (l *Loop) help() {
+	for l.waits() {
+		if !l.turn.TryLock() {
+			return // who runs it looks again when it has done
+		}
+		wake := !l.live || l.panicked != nil
+		if !wake {
+			l.step(most)
+			wake = l.panicked != nil || len(l.timers) > 0 && l.timers[0].at < l.armed || l.waits()
+		}
+		l.turn.Unlock()
+		if wake {
+			l.poke()
+			return
+		}
 	}
 }
 
@@ -236,9 +239,8 @@
 	return len(l.endings)+len(l.arrivals)+len(l.news) > 0
 }
 
-// step runs what waits now, or the call of a number if it is all that does; the turn is held. It says whether there was
-// anything.
-func (l *Loop) step(only uint64) (ran bool) {
+// step runs what waits now, or up to so many arrivals of it; the turn is held. It says whether there was anything.
+func (l *Loop) step(upTo int) (ran bool) {
 	defer func() {
 		if p := recover(); p != nil {
 			l.since.Store(0)
@@ -247,18 +249,21 @@
 		}
 	}()
 	l.mu.Lock()
-	if l.stopped || only > 0 && (l.posted != only || len(l.endings)+len(l.arrivals)+len(l.news) != 1) {
+	if l.stopped {
 		l.mu.Unlock()
 		return false
 	}
 	l.ended, l.endings = l.endings, l.ended[:0]
-	l.arrived, l.arrivals = l.arrivals, l.arrived[:0]
+	if n := len(l.arrivals); upTo > 0 && n > upTo {
+		l.arrived = append(l.arrived[:0], l.arrivals[:upTo]...)
+		l.arrivals = append(l.arrivals[:0], l.arrivals[upTo:]...)
+	} else {
+		l.arrived, l.arrivals = l.arrivals, l.arrived[:0]
+	}
 	l.mu.Unlock()
 	l.read()
 	l.runAll(l.ended)
-	if only == 0 {
-		l.due()
-	}
+	l.due()
 	for i := range l.arrived {
 		l.queued.Add(-1)
 		l.runAll(l.arrived[i : i+1])
@@ -364,7 +369,7 @@
 // Ask runs a call on the loop and waits for it; false says that the loop has stopped.
 func (l *Loop) Ask(f func()) bool {
 	done := make(chan struct{})
-	if l.put(&l.endings, func() { f(); close(done) }) == 0 {
+	if !l.put(&l.endings, func() { f(); close(done) }) {
 		return false
 	}
 	l.poke()
