One way to end what is out, one look at a socket

Cause: Let wrote again what final does to a dispatch that is out, and Ended the look at a socket that waits makes. Change: both call one piece; behaviour as before.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -132,10 +132,16 @@
 	return c, nil
 }
 
+// peek looks for a byte on a socket, without waiting and without taking it.
+func peek(fd uintptr) (int, error) {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
+}
+
 // waits says that nothing has come on a socket, not even its end.
 func waits(fd uintptr) bool {
-	var b [1]byte
-	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	_, err := peek(fd)
 	return err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
 }
 
@@ -159,8 +165,7 @@
 // Ended says that the other side has ended its sending, and that all it sent has been read.
 func Ended(nc net.Conn) (ended bool) {
 	onSocket(nc, func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, err := peek(fd)
 		ended = n == 0 && err == nil
 	})
 	return ended
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -166,13 +166,16 @@
 func (x *exchange) Abrupt()    { x.final(command{what: doTerminate}) }
 
 // Let gives up what is out: nobody waits for it any more, and a connection that comes up late must carry nothing.
-func (x *exchange) Let() {
+func (x *exchange) Let() { x.end(command{what: doLet}) }
+
+// end ends what is still out and has the worker carry out the last command.
+func (x *exchange) end(cmd command) {
 	x.mu.Lock()
 	if x.out {
 		x.stop()
 	}
 	x.mu.Unlock()
-	x.send(command{what: doLet})
+	x.send(cmd)
 }
 
 // final decides on the answer unless a success was faster, and ends what is still out.
@@ -180,12 +183,7 @@
 	if x.claimed.Swap(true) {
 		return
 	}
-	x.mu.Lock()
-	if x.out {
-		x.stop()
-	}
-	x.mu.Unlock()
-	x.send(cmd)
+	x.end(cmd)
 }
 
 // lapse tells the module that the client is gone.
