Failing tests: posters that wait, dispatches decided on after the client's time

All three fail on this code:

- TestPostersNeverWait (loop): 'the poster waits for a call that blocks' with Offer, 5 s.
- TestDispatchAfterTheGuardAnswered: 'no answer: i/o timeout, not 502 terminated' and 'it never came that all is over': the connection's goroutine is itself inside the call that is held up.
- TestLateDispatchKeepsToTheClientsTime: the answer comes after about 0.79 s where the client's time is 0.5 s.

--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -195,3 +195,39 @@
 	}
 	l.Do(func() { t.Error("a loop that has ended runs a call") })
 }
+
+// A call that blocked took whoever had posted one with it: TestLoopStandsStill's second client got "no answer: i/o timeout" after
+// 3.03 s, since the goroutine that owed the answer was inside the blocked call (help, run on the poster's goroutine). Nobody but
+// the loop's own goroutine runs calls now, and posting one returns whatever the loop does.
+func TestPostersNeverWait(t *testing.T) {
+	for name, post := range map[string]func(*Loop, func()){
+		"Post":  (*Loop).Post,
+		"News":  (*Loop).News,
+		"Offer": func(l *Loop, f func()) { l.Offer(f) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := New(Monotonic(), 9)
+			end := make(chan error)
+			go func() { end <- l.Run() }()
+			l.Ask(func() {})
+			time.Sleep(10 * time.Millisecond) // it sleeps
+			blocked, posted, ran := make(chan struct{}), make(chan struct{}), make(chan struct{})
+			go func() {
+				post(l, func() { <-blocked })
+				post(l, func() { close(ran) })
+				close(posted)
+			}()
+			select {
+			case <-posted:
+			case <-time.After(5 * time.Second):
+				t.Error("the poster waits for a call that blocks")
+			}
+			close(blocked)
+			<-ran
+			l.Stop()
+			if err := <-end; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os/exec"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -553,6 +554,66 @@
 	}
 }
 
+// The loop is held up inside the call that decides on a dispatch, past the client's time, and the connection answers. The
+// command to dispatch came after that, and nobody carried it out or said so: the record kept "open 1" for ever, the module one
+// dispatch out at that node, and a stop waited its whole time. What is decided on after the answer ends as never sent.
+func TestDispatchAfterTheGuardAnswered(t *testing.T) {
+	var slow atomic.Bool
+	held := make(chan struct{})
+	r := start(t, 1, ok, nil, rigHooks{Hooks: Hooks{Module: func(h balance.Host, s balance.Settings, seed uint64) divide.Module {
+		return balance.New(&slowHost{h, func() {
+			if slow.Swap(false) {
+				<-held
+			}
+		}}, s, seed)
+	}}})
+	c := r.client()
+	for range 3 {
+		slow.Store(true)
+		c.send("GET /look HTTP/1.1\nHost: x\nX-Time-Ms: 200\n\n")
+		c.expect("502 terminated")
+		held <- struct{}{}
+		r.until("all is over", func() bool { l, _ := r.m.Look(); return l.Open == 0 })
+	}
+	if l, _ := r.m.Look(); l.Terminated != 3 || l.Dispatches != 3 || l.Endings[balance.Ignored] != 3 || r.got() != 0 {
+		t.Errorf("%d dispatches ended as %v, %d requests at nodes", l.Dispatches, l.Endings, r.got())
+	}
+	c.send(get, "look")
+	c.expect("200 succeeded")
+}
+
+// The loop is held up for 0.3 s inside the call that decides on a dispatch to a node which then hangs. How long the dispatch may
+// take was decided before and counted from when it began, so that it ended that much after the client's time, and the answer
+// came then. The client's time bounds it wherever it begins.
+func TestLateDispatchKeepsToTheClientsTime(t *testing.T) {
+	const limit, hold = 500 * time.Millisecond, 300 * time.Millisecond
+	r := start(t, 1, func(r *rig, c net.Conn, b *bufio.Reader) {
+		r.request(b)
+		<-r.gate
+	}, nil, rigHooks{Hooks: Hooks{Module: func(h balance.Host, s balance.Settings, seed uint64) divide.Module {
+		return balance.New(&slowHost{h, func() { time.Sleep(hold) }}, s, seed)
+	}}})
+	c := r.client()
+	begun := time.Now()
+	c.send("GET /once HTTP/1.1\nHost: x\nX-Time-Ms: %d\n\n", limit.Milliseconds())
+	c.expect("50")
+	if took := time.Since(begun); took > limit+time.Duration(r.set.Rules.AnswerSlackMs)*time.Millisecond || r.got() != 1 {
+		t.Errorf("the answer came after %v, with %d requests at the node", took, r.got())
+	}
+	r.until("all is over", func() bool { l, _ := r.m.Look(); return l.Open == 0 })
+}
+
+// slowHost does something before each dispatch.
+type slowHost struct {
+	balance.Host
+	before func()
+}
+
+func (s *slowHost) Dispatch(inv string, node uint32, within float64) {
+	s.before()
+	s.Host.Dispatch(inv, node, within)
+}
+
 // A client that does not read its long answer is left after the write time; the marshal goes on.
 func TestSlowReader(t *testing.T) {
 	r := start(t, 1, func(r *rig, c net.Conn, b *bufio.Reader) {
