Only the loop's goroutine runs calls; what is decided after the answer ends as never sent

Change: Post, News and Offer only queue; Do is gone; Run's goroutine alone runs calls. An exchange that has its answer takes no command, and says so of a dispatch. A dispatch, and the reading of a streamed body, are bounded by when the connection answers by itself. The loop's timer goes on from one sleep to the next.

Weighed: a poster that runs calls only where it owes nothing (the reader, discovery): it saves nothing, since arrivals and endings are posted by those who owe; a guard on a goroutine of its own: it would need a second writer on each client's connection.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -20,16 +20,17 @@
 // exchange is one invocation from its head to its answer. The loop calls the methods of marshal.Exchange; the
 // connection's worker runs all else.
 type exchange struct {
-	c      *conn
-	id     string       // given on the loop
-	at     atomic.Int32 // the core that it was offered to last
-	taker  atomic.Int32 // the one that took it, counted from 1
-	lapsed atomic.Bool  // the client has gone
-	head   *h1.Head
-	began  float64
-	limit  float64
-	dueAt  float64
-	last   bool // the connection ends with it
+	c        *conn
+	id       string       // given on the loop
+	at       atomic.Int32 // the core that it was offered to last
+	taker    atomic.Int32 // the one that took it, counted from 1
+	lapsed   atomic.Bool  // the client has gone
+	head     *h1.Head
+	began    float64
+	limit    float64
+	dueAt    float64
+	answerBy float64 // when the connection answers by itself
+	last     bool    // the connection ends with it
 
 	// What the module is told of it, and what binds it to a core: a key, a mark or nothing.
 	pool, local, tenant int
@@ -50,7 +51,8 @@
 	claimed atomic.Bool  // the final answer has been decided on, by a success or by the module
 
 	mu       sync.Mutex
-	no       int // of the dispatch that is out
+	over     bool // its connection carries out no further command
+	no       int  // of the dispatch that is out
 	out      bool
 	node     *back.Conn
 	undial   context.CancelFunc
@@ -112,7 +114,6 @@
 func (x *exchange) loop() *loop.Loop    { return x.c.s.Loops[x.at.Load()] }
 
 type command struct {
-	x          *exchange
 	what       int
 	no         int
 	address    string
@@ -127,19 +128,44 @@
 	doLet
 )
 
-func (x *exchange) send(cmd command) {
-	cmd.x = x
-	x.c.commands <- cmd
-}
+// send hands a command to the connection's goroutine; x.mu is held, and the exchange is not over. It never waits: at most a
+// dispatch and the last commands are ever in the channel.
+func (x *exchange) send(cmd command) { x.c.commands <- cmd }
 
 // Dispatch and the methods below are marshal.Exchange.
 func (x *exchange) Dispatch(no int, node uint32, address string, within float64) {
 	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.over {
+		x.neverSent(no)
+		return
+	}
 	x.no, x.out, x.canceled = no, true, false
-	x.mu.Unlock()
 	x.send(command{what: doDispatch, no: no, address: address, within: within})
 }
 
+// neverSent tells the module that a dispatch has ended without having begun.
+func (x *exchange) neverSent(no int) {
+	x.loop().Post(func() { x.core().Ended(x.id, no, balance.Ignored, 0, false, nil) })
+}
+
+// finish takes no command any more: the invocation has its answer. A dispatch that was decided on meanwhile is never sent.
+func (x *exchange) finish() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.over = true
+	for {
+		select {
+		case cmd := <-x.c.commands:
+			if cmd.what == doDispatch {
+				x.neverSent(cmd.no)
+			}
+		default:
+			return
+		}
+	}
+}
+
 func (x *exchange) Cancel(no int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -171,10 +197,13 @@
 // end ends what is still out and has the worker carry out the last command.
 func (x *exchange) end(cmd command) {
 	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.over {
+		return
+	}
 	if x.out {
 		x.stop()
 	}
-	x.mu.Unlock()
 	x.send(cmd)
 }
 
@@ -190,7 +219,7 @@
 func (x *exchange) lapse() {
 	x.lapsed.Store(true)
 	at := x.at.Load() // where it is now; if it is moved, whoever takes it sees that the client has gone
-	x.c.s.Loops[at].Do(func() {
+	x.c.s.Loops[at].Post(func() {
 		if x.taker.Load() == at+1 && x.id != "" {
 			x.c.s.Cores[at][x.pool].Lapsed(x.id)
 		}
@@ -261,9 +290,9 @@
 // run carries out the module's commands until the final answer; false ends the connection.
 func (x *exchange) run() (keep bool) {
 	s := x.c.s
-	until := x.dueAt + s.Current().Times.AnswerMs/2
+	defer x.finish()
 	wait := func() time.Duration {
-		left := until - s.Clock.Now()
+		left := x.answerBy - s.Clock.Now()
 		if len(s.Loops) > 1 && x.state.Load()%states == offered {
 			left = min(left, recall)
 		}
@@ -282,7 +311,7 @@
 		select {
 		case cmd = <-x.c.commands:
 		case <-guard.C:
-			if s.Clock.Now() < until {
+			if s.Clock.Now() < x.answerBy {
 				if x.move() {
 					return s.behind(x)
 				}
@@ -296,9 +325,6 @@
 			}
 			continue
 		}
-		if cmd.x != x {
-			continue // of an invocation that is over
-		}
 		switch cmd.what {
 		case doDispatch:
 			if answered, keep := x.dispatch(cmd); answered {
@@ -325,7 +351,7 @@
 	if x.claimed.Swap(true) {
 		return false, false // its answer is on the way
 	}
-	x.loop().Do(func() { x.core().Overtaken(x.id) })
+	x.loop().Post(func() { x.core().Overtaken(x.id) })
 	return true, x.c.plain(x.terminated(), Terminated, "terminated: what it did is not known", x.ends()) == nil && !x.ends()
 }
 
@@ -338,12 +364,14 @@
 func (x *exchange) dispatch(cmd command) (answered, keep bool) {
 	s := x.c.s
 	start := s.Clock.Now()
-	until := time.Now().Add(ms(cmd.within))
+	// The clock that the module decided by may be behind: a dispatch ends before the connection has to answer by itself.
+	within := min(cmd.within, x.answerBy-start)
+	until := time.Now().Add(ms(within))
 	f := back.Fate{Strict: s.Pool.Strict}
 	var node *back.Conn
 	var report map[string]float64
-	if x.broken {
-		f.Canceled = true // what was streamed is gone: this dispatch is never sent
+	if x.broken || within <= 0 { // what was streamed is gone, or there is no time left: this dispatch is never sent
+		f.Canceled = true
 	} else {
 		node = x.request(cmd.address, until, &f)
 	}
@@ -356,7 +384,7 @@
 	f.Expired = f.Expired || !time.Now().Before(until)
 	x.how = x.detach(&f)
 	how, took := x.how, s.Clock.Now()-start
-	x.loop().Do(func() { x.core().Ended(x.id, cmd.no, how, took, false, report) })
+	x.loop().Post(func() { x.core().Ended(x.id, cmd.no, how, took, false, report) })
 	return false, false
 }
 
@@ -516,7 +544,8 @@
 	room, chunked := make([]byte, 32<<10), x.head.Length == h1.Chunked
 	var b []byte
 	for {
-		x.c.nc.SetReadDeadline(time.Now().Add(ms(x.c.s.Current().Times.BodyMs)))
+		wait := min(x.c.s.Current().Times.BodyMs, x.answerBy-x.c.s.Clock.Now())
+		x.c.nc.SetReadDeadline(time.Now().Add(ms(wait)))
 		n, err := x.body.Read(room)
 		b = b[:0]
 		if n > 0 && chunked {
@@ -605,7 +634,7 @@
 	}
 	// The module learns of it before the client does: what the client asks next, it asks a marshal that knows.
 	took := s.Clock.Now() - start
-	x.loop().Do(func() { x.core().Ended(x.id, no, balance.Succeeded, took, true, report) })
+	x.loop().Post(func() { x.core().Ended(x.id, no, balance.Succeeded, took, true, report) })
 	x.putBack(node, h)
 	c.out = x.answerHead(c.out[:0], h, body, len(held))
 	if x.head.Method != "HEAD" {
@@ -694,7 +723,7 @@
 	report map[string]float64) (keep bool) {
 	s, c := x.c.s, x.c
 	l := x.loop()
-	l.Do(func() { x.core().Began(x.id, no, l.Now()-start) })
+	l.Post(func() { x.core().Began(x.id, no, l.Now()-start) })
 	x.mu.Lock() // no cancel ends what the client has begun to read
 	x.node, x.undial = nil, nil
 	x.mu.Unlock()
@@ -741,7 +770,7 @@
 		x.last = true // cut short: only the end of the connection can tell
 	}
 	took := s.Clock.Now() - start
-	x.loop().Do(func() { x.core().Ended(x.id, no, how, took, true, report) })
+	x.loop().Post(func() { x.core().Ended(x.id, no, how, took, true, report) })
 	if err == io.EOF {
 		x.putBack(node, h)
 	} else {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -667,6 +667,7 @@
 	}
 	x.tenant, x.cost, x.write, x.key, x.retry = asked.Tenant, asked.Cost, asked.Write, asked.Key, asked.Retry
 	x.dueAt = s.Clock.Now() + budget
+	x.answerBy = x.dueAt + s.Current().Times.AnswerMs/2
 	at := 0
 	if len(s.Loops) > 1 {
 		if s.Set.RolloutOf(x.pool).ForwardOnly {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -5,7 +5,6 @@
 import (
 	"container/heap"
 	"fmt"
-	"math"
 	"runtime/debug"
 	"slices"
 	"sync"
@@ -37,11 +36,12 @@
 	return func() { t.Stop() }
 }
 
-// Loop is a queue of calls, and the timers, of one instance.
+// Loop is a queue of calls, and the timers, of one instance. Only the goroutine of Run runs calls: whoever posts one never
+// waits for it, so that a call which blocks holds up nobody who owes a client an answer.
 type Loop struct {
-	clock Clock
-	most  int // arrivals that may wait
-	wake  chan struct{}
+	clock       Clock
+	maxArrivals int // that may wait
+	wake        chan struct{}
 
 	mu       sync.Mutex
 	news     []func()
@@ -52,27 +52,24 @@
 	// Again, set before Run, lets it be called again after a panic: what waits is kept, timers are not.
 	Again bool
 
-	turn     sync.Mutex // held by who runs calls; all from here to order is theirs
-	live     bool       // Run has begun and not ended
-	panicked *Panic
-	armed    float64 // the time until which the loop's goroutine sleeps at most
-	// What is being run: endings, those that came meanwhile, arrivals.
+	// All from here to order belongs to the goroutine of Run. What is being run: endings, those that came meanwhile, arrivals.
 	ended, meanwhile, arrived []func()
 
-	now    float64 // of the call that runs
-	timers timers
-	order  uint64
-	behind atomic.Int64 // arrivals refused
-	ran    atomic.Int64
-	behold atomic.Bool  // there is news
-	queued atomic.Int64 // arrivals that wait
-	busy   atomic.Int64 // microseconds spent in calls
-	since  atomic.Int64 // microseconds of the clock at which the call that runs began, 0 for none
+	now     float64 // of the call that runs
+	timers  timers
+	alarm   alarm
+	order   uint64
+	refused atomic.Int64 // arrivals
+	ran     atomic.Int64
+	hasNews atomic.Bool
+	queued  atomic.Int64 // arrivals that wait
+	busy    atomic.Int64 // microseconds spent in calls
+	since   atomic.Int64 // microseconds of the clock at which the call that runs began, 0 for none
 }
 
 // New makes a loop in which at most so many arrivals wait.
-func New(clock Clock, most int) *Loop {
-	return &Loop{clock: clock, most: most, wake: make(chan struct{}, 1), now: clock.Now()}
+func New(clock Clock, maxArrivals int) *Loop {
+	return &Loop{clock: clock, maxArrivals: maxArrivals, wake: make(chan struct{}, 1), now: clock.Now()}
 }
 
 // Post queues a call that must not be lost: an ending, news, a timer. After the loop has stopped it does nothing.
@@ -90,7 +87,7 @@
 	}
 	*queue = append(*queue, f)
 	if queue == &l.news {
-		l.behold.Store(true)
+		l.hasNews.Store(true)
 	}
 	return true
 }
@@ -102,27 +99,20 @@
 	l.poke()
 }
 
-// Do queues a call like Post, and runs it here and now if nobody else runs the loop; the caller must hold nothing that a
-// call may want.
-func (l *Loop) Do(f func()) {
-	l.put(&l.endings, f)
-	l.help()
-}
-
-// Offer queues an arrival, or runs it like Do; false says that the queue is behind and nothing was taken.
+// Offer queues an arrival; false says that the queue is full and nothing was taken.
 func (l *Loop) Offer(f func()) bool {
 	l.mu.Lock()
-	ok := !l.stopped && len(l.arrivals) < l.most
+	ok := !l.stopped && len(l.arrivals) < l.maxArrivals
 	if ok {
 		l.arrivals = append(l.arrivals, f)
 		l.queued.Add(1)
 	}
 	l.mu.Unlock()
 	if !ok {
-		l.behind.Add(1)
+		l.refused.Add(1)
 		return false
 	}
-	l.help()
+	l.poke()
 	return true
 }
 
@@ -134,7 +124,7 @@
 }
 
 // Behind counts the arrivals that were refused, Ran the calls that have run.
-func (l *Loop) Behind() int64 { return l.behind.Load() }
+func (l *Loop) Behind() int64 { return l.refused.Load() }
 func (l *Loop) Ran() int64    { return l.ran.Load() }
 
 // Waiting is how many arrivals wait, Busy the ms spent in calls so far, and Standing the ms that the call which runs
@@ -168,28 +158,23 @@
 
 // Run runs calls until Stop; a panic in one ends it with a *Panic.
 func (l *Loop) Run() error {
-	l.turn.Lock()
-	l.panicked, l.live = nil, true
-	for {
-		if l.panicked == nil && l.step(0) {
-			continue
-		}
-		if l.panicked != nil || l.ending() {
-			break
+	defer l.alarm.clear()
+	var panicked *Panic
+	for panicked == nil && !l.ending() {
+		var ran bool
+		if ran, panicked = l.step(); !ran && panicked == nil {
+			l.sleep()
 		}
-		l.sleep()
 	}
-	defer l.turn.Unlock()
-	l.live = false
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.panicked != nil && l.Again && !l.stopped { // what waits is for whoever runs it next
+	if panicked != nil && l.Again && !l.stopped { // what waits is for whoever runs it next
 		l.requeue()
-		return l.panicked
+		return panicked
 	}
 	l.stopped, l.news, l.endings, l.arrivals = true, nil, nil, nil
-	if l.panicked != nil { // a nil *Panic would be an error
-		return l.panicked
+	if panicked != nil { // a nil *Panic would be an error
+		return panicked
 	}
 	return nil
 }
@@ -210,56 +195,23 @@
 	l.ended, l.meanwhile, l.arrived, l.timers = nil, nil, nil, nil
 }
 
-// most is how many calls who posted one runs at most before the loop's own goroutine takes over.
-const most = 16
-
-// help runs what waits on the goroutine that posted it, if nobody runs the loop just now: waking another goroutine for
-// each call would cost more than most calls do. Still one call runs at a time, in the loop's order.
-func (l *Loop) help() {
-	for l.waits() {
-		if !l.turn.TryLock() {
-			return // who runs it looks again when it has done
-		}
-		wake := !l.live || l.panicked != nil
-		if !wake {
-			l.step(most)
-			wake = l.panicked != nil || len(l.timers) > 0 && l.timers[0].at < l.armed || l.waits()
-		}
-		l.turn.Unlock()
-		if wake {
-			l.poke()
-			return
-		}
-	}
-}
-
 func (l *Loop) waits() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return len(l.endings)+len(l.arrivals)+len(l.news) > 0
 }
 
-// step runs what waits now, or up to so many arrivals of it; the turn is held. It says whether there was anything.
-func (l *Loop) step(upTo int) (ran bool) {
+// step runs what waits now, and says whether there was anything.
+func (l *Loop) step() (ran bool, panicked *Panic) {
 	defer func() {
 		if p := recover(); p != nil {
 			l.since.Store(0)
-			l.panicked = &Panic{p, debug.Stack()}
-			ran = false
+			ran, panicked = false, &Panic{p, debug.Stack()}
 		}
 	}()
 	l.mu.Lock()
-	if l.stopped {
-		l.mu.Unlock()
-		return false
-	}
 	l.ended, l.endings = l.endings, l.ended[:0]
-	if n := len(l.arrivals); upTo > 0 && n > upTo {
-		l.arrived = append(l.arrived[:0], l.arrivals[:upTo]...)
-		l.arrivals = append(l.arrivals[:0], l.arrivals[upTo:]...)
-	} else {
-		l.arrived, l.arrivals = l.arrivals, l.arrived[:0]
-	}
+	l.arrived, l.arrivals = l.arrivals, l.arrived[:0]
 	l.mu.Unlock()
 	l.read()
 	l.runAll(l.ended)
@@ -273,7 +225,7 @@
 			l.due()
 		}
 	}
-	return len(l.ended)+len(l.arrived) > 0
+	return len(l.ended)+len(l.arrived) > 0, nil
 }
 
 func (l *Loop) takeEndings() []func() {
@@ -289,7 +241,7 @@
 
 func (l *Loop) runAll(calls []func()) {
 	for i, f := range calls {
-		if l.behold.Load() {
+		if l.hasNews.Load() {
 			l.read()
 		}
 		calls[i] = nil
@@ -299,11 +251,11 @@
 
 // read runs the news.
 func (l *Loop) read() {
-	for l.behold.Load() {
+	for l.hasNews.Load() {
 		l.mu.Lock()
 		news := l.news
 		l.news = nil
-		l.behold.Store(false)
+		l.hasNews.Store(false)
 		l.mu.Unlock()
 		for _, f := range news {
 			l.run(f)
@@ -326,25 +278,20 @@
 	now := l.clock.Now()
 	for len(l.timers) > 0 && l.timers[0].at <= now {
 		t := heap.Pop(&l.timers).(timer)
-		if l.behold.Load() {
+		if l.hasNews.Load() {
 			l.read()
 		}
 		l.run(t.f)
 	}
 }
 
-// sleep gives up the turn until there is something to do.
+// sleep waits until there is something to do.
 func (l *Loop) sleep() {
-	l.armed = math.Inf(1)
-	if len(l.timers) > 0 {
-		l.armed = l.timers[0].at
-		defer l.clock.Timer(max(0, l.armed-l.clock.Now()), l.poke)()
-	}
-	l.turn.Unlock()
-	if !l.waits() {
-		<-l.wake
+	if l.waits() {
+		return
 	}
-	l.turn.Lock()
+	l.alarm.set(l.clock, l.timers, l.poke)
+	<-l.wake
 }
 
 // Clock is the loop's clock.
@@ -355,7 +302,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.news = append([]func(){f}, l.news...)
-	l.behold.Store(true)
+	l.hasNews.Store(true)
 }
 
 // Stop ends Run after the call that runs now.
@@ -385,6 +332,37 @@
 	}
 }
 
+// alarm wakes a sleeping loop for its first timer. It goes on from one sleep to the next: most calls come long before the
+// first timer is due, and a new one for each would cost more than they do.
+type alarm struct {
+	armed bool
+	at    float64
+	stop  func()
+	rang  atomic.Bool
+}
+
+func (a *alarm) set(clock Clock, t timers, wake func()) {
+	if a.rang.Swap(false) {
+		a.armed = false
+	}
+	if len(t) == 0 || a.armed && a.at <= t[0].at {
+		return
+	}
+	a.clear()
+	a.armed, a.at = true, t[0].at
+	a.stop = clock.Timer(max(0, a.at-clock.Now()), func() {
+		a.rang.Store(true)
+		wake()
+	})
+}
+
+func (a *alarm) clear() {
+	if a.stop != nil {
+		a.stop()
+	}
+	a.armed, a.stop = false, nil
+}
+
 type timer struct {
 	at    float64
 	order uint64
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -165,13 +165,13 @@
 					}
 					ran++
 					if ran%100 == 0 {
-						l.Do(func() { more++ })
+						l.Post(func() { more++ })
 						l.After(0.1, func() { more++ })
 					}
 					running--
 				}
 				if i%3 == 0 {
-					l.Do(f)
+					l.Post(f)
 				} else if !l.Offer(f) {
 					t.Error("refused")
 				}
@@ -188,12 +188,12 @@
 			t.Errorf("%d and %d ran, %d within another", ran, more, inside)
 		}
 	})
-	l.Do(func() { panic("planted") })
+	l.Post(func() { panic("planted") })
 	var p *Panic
 	if err := <-end; !errors.As(err, &p) || p.Value != "planted" {
 		t.Errorf("it ended with %v", err)
 	}
-	l.Do(func() { t.Error("a loop that has ended runs a call") })
+	l.Post(func() { t.Error("a loop that has ended runs a call") })
 }
 
 // A call that blocked took whoever had posted one with it: TestLoopStandsStill's second client got "no answer: i/o timeout" after
