Failing test: a marshal told to stop while its loop stands still

TestStopWhileTheLoopStandsStill fails: 'it does not stop in its time'. Stop asks the loop what it owes (Loop.Ask, without a bound), and End waits for the loops' end before it answers and closes what is open.

--- a/internal/serve/leave_test.go
+++ b/internal/serve/leave_test.go
@@ -201,3 +201,44 @@
 		r.close()
 	}
 }
+
+// A core stands still and doesn't come back while the marshal is told to stop. Stop asked that core what it owes and waited for its
+// word, End for its end: neither came, the listener and every connection stayed open, a second signal changed nothing, and KILL found
+// what was open unanswered. What clients are owed never needs the loop.
+func TestStopWhileTheLoopStandsStill(t *testing.T) {
+	r := start(t, 1, func(r *rig, c net.Conn, b *bufio.Reader) {
+		for {
+			q, _, whole := r.request(b)
+			if !whole {
+				return
+			}
+			if q.URL.Path == "/once" {
+				<-r.gate
+			}
+			answer(c, q.URL.Path)
+		}
+	}, nil, rigHooks{})
+	kept, taken, queued := r.client(), r.client(), r.client()
+	kept.send(get, "look")
+	kept.expect("200 succeeded /look")
+	taken.send(get, "once")
+	r.until("the node has it", func() bool { return r.got() == 2 })
+	r.hold(0)
+	queued.send(get, "look")
+	begun := time.Now()
+	stopped := make(chan error, 1)
+	go func() { stopped <- r.m.Stop() }()
+	taken.expect("502 terminated")
+	queued.expect("503 not-taken")
+	if got := kept.read(); got != "no answer: unexpected EOF" && got != "no answer: EOF" {
+		t.Errorf("the kept connection: %s", got)
+	}
+	select {
+	case err := <-stopped:
+		if err == nil {
+			t.Error("nothing says that a core did not end")
+		}
+	case <-time.After(time.Duration(r.set.Times.StopMs)*time.Millisecond - time.Since(begun)):
+		t.Error("it does not stop in its time")
+	}
+}
