A marshal told to stop ends in its time also where a loop stands still

Symptom: TestStopWhileTheLoopStandsStill, 'it does not stop in its time': nothing was closed, a second signal changed nothing.

Cause: serve.go, Stop: l.Ask waits for the loop without a bound; End: <-m.ended before Front.Abort and Front.Close. The same in platform.go, Say, on the goroutine that waits for signals.

Change: loop.Query asks a loop until a context ends; Stop and Say bound it. Stop asks only once no connection is open. End waits 0.2 s for the loops and then ends without them, with ErrLoopBlocked.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -4,6 +4,8 @@
 
 import (
 	"container/heap"
+	"context"
+	"errors"
 	"fmt"
 	"runtime/debug"
 	"slices"
@@ -313,25 +315,37 @@
 	l.poke()
 }
 
-// Ask runs a call on the loop and waits for it; false says that the loop has stopped.
-func (l *Loop) Ask(f func()) bool {
-	done := make(chan struct{})
-	if !l.put(&l.endings, func() { f(); close(done) }) {
-		return false
+// ErrStopped says that a loop has ended and runs no further call.
+var ErrStopped = errors.New("the loop has ended")
+
+// Query runs a call on the loop and gives its result. It waits until the context ends, and then for nothing more: a call before
+// it may block. The error is the context's or ErrStopped.
+func Query[T any](ctx context.Context, l *Loop, call func() T) (result T, err error) {
+	results := make(chan T, 1)
+	if !l.put(&l.endings, func() { results <- call() }) {
+		return result, ErrStopped
 	}
 	l.poke()
 	for {
 		select {
-		case <-done:
-			return true
+		case result = <-results:
+			return result, nil
+		case <-ctx.Done():
+			return result, ctx.Err()
 		case <-time.After(50 * time.Millisecond):
 			if l.ending() {
-				return false
+				return result, ErrStopped
 			}
 		}
 	}
 }
 
+// Ask runs a call on the loop and waits for it, however long; false says that the loop has stopped.
+func (l *Loop) Ask(f func()) bool {
+	_, err := Query(context.Background(), l, func() struct{} { f(); return struct{}{} })
+	return err == nil
+}
+
 // alarm wakes a sleeping loop for its first timer. It goes on from one sleep to the next: most calls come long before the
 // first timer is due, and a new one for each would cost more than they do.
 type alarm struct {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -85,11 +86,17 @@
 	return m.Stop()
 }
 
+// sayWithin is how long a view waits for a loop: who asks for it also waits for signals.
+const sayWithin = 100 * time.Millisecond
+
 // Say logs what the marshal sees: what it took and answered, and of each node what was sent, how it ended and what is
 // out there, to be held against the traffic on the sockets.
 func (m *Marshal) Say() {
-	r, ok := m.Look()
-	if !ok {
+	ctx, done := context.WithTimeout(context.Background(), sayWithin)
+	defer done()
+	r, err := m.LookAt(ctx, 0)
+	if err != nil {
+		m.Log.Debug("no view", "err", err)
 		return
 	}
 	nodes := make([]string, 0, len(r.Nodes))
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -48,7 +48,8 @@
 	wg     sync.WaitGroup
 	loops  sync.WaitGroup
 	ended  chan struct{} // the loops have ended
-	err    error
+	errs   sync.Mutex
+	err    error // that it ends with; errs
 	once   sync.Once
 	failed sync.Once
 	reload sync.Mutex
@@ -617,7 +618,7 @@
 // fail ends the marshal: one of its cores has.
 func (m *Marshal) fail(err error) {
 	m.failed.Do(func() {
-		m.err = err
+		m.endsWith(err)
 		for _, l := range m.Loops {
 			l.Stop()
 		}
@@ -647,28 +648,37 @@
 // Ended is closed once the marshal has nothing left to run on: after Stop, Kill, or a panic of its module.
 func (m *Marshal) Ended() <-chan struct{} { return m.ended }
 
+// How long the end of a marshal waits for its loops, whose calls it can't break off.
+const (
+	askWithin     = 100 * time.Millisecond // for what a loop owes, before it is taken to stand still
+	loopEndWithin = 200 * time.Millisecond // for it to end
+)
+
+// ErrLoopBlocked says that the marshal has ended but a call of one of its loops has not.
+var ErrLoopBlocked = errors.New("a call of the loop still blocks: the marshal has ended without it")
+
 // Stop takes nothing new, lets what was taken end within its time, and ends once no connection is left that may still carry a
 // request.
 func (m *Marshal) Stop() error {
 	m.Front.Stop()
 	deadline := time.Now().Add(dur(m.Front.Current().Times.StopMs))
-	for open := 1; open > 0 && time.Now().Before(deadline); {
+	for time.Now().Before(deadline) {
 		time.Sleep(5 * time.Millisecond)
-		open = m.Front.Open() + m.Front.Connections()
-		for i, l := range m.Loops {
-			if !l.Ask(func() { open += m.owed(i) }) {
-				return m.End()
-			}
+		if m.Front.Open()+m.Front.Connections() > 0 {
+			continue
+		}
+		if open, err := m.owedByAll(); err != nil || open == 0 {
+			break
 		}
 	}
 	return m.End()
 }
 
-// End ends at once; what is open is terminated.
+// End ends at once; what is open is terminated. Clients are answered and left whatever the loops do.
 func (m *Marshal) End() error {
 	m.once.Do(func() {
 		m.Front.Stop()
-		m.stopLoops()
+		blocked := !m.stopLoops()
 		m.Front.Abort()
 		m.Front.Close(2 * time.Second)
 		m.cancel()
@@ -677,15 +687,27 @@
 		}
 		m.pool.Close()
 		m.wg.Wait()
+		if blocked {
+			m.endsWith(ErrLoopBlocked)
+			return // what it records is its own until it ends
+		}
 		for _, l := range m.all() {
 			if l.rec != nil {
 				l.rec.Close()
 			}
 		}
 	})
+	m.errs.Lock()
+	defer m.errs.Unlock()
 	return m.err
 }
 
+func (m *Marshal) endsWith(err error) {
+	m.errs.Lock()
+	defer m.errs.Unlock()
+	m.err = errors.Join(m.err, err)
+}
+
 // Kill ends like a killed process: sockets close, nothing is answered, nothing is written any more.
 func (m *Marshal) Kill() {
 	m.once.Do(func() {
@@ -699,11 +721,31 @@
 	})
 }
 
-func (m *Marshal) stopLoops() {
+// stopLoops ends the loops; false says that one has not ended.
+func (m *Marshal) stopLoops() bool {
 	for _, l := range m.Loops {
 		l.Stop()
 	}
-	<-m.ended
+	select {
+	case <-m.ended:
+		return true
+	case <-time.After(loopEndWithin):
+		return false
+	}
+}
+
+// owedByAll counts the invocations that are open at all cores; the error says that one has ended or stands still.
+func (m *Marshal) owedByAll() (open int, err error) {
+	ctx, done := context.WithTimeout(context.Background(), askWithin)
+	defer done()
+	for i, l := range m.Loops {
+		n, err := loop.Query(ctx, l, func() int { return m.owed(i) })
+		if err != nil {
+			return 0, err
+		}
+		open += n
+	}
+	return open, nil
 }
 
 // owed counts the invocations that are open at a core; to be called on its loop.
@@ -713,14 +755,17 @@
 }
 
 // Look gives a copy of the marshal's own record, of the first pool where there are several; false once it has ended.
-func (m *Marshal) Look() (marshal.Record, bool) { return m.LookAt(0) }
+func (m *Marshal) Look() (marshal.Record, bool) {
+	r, err := m.LookAt(context.Background(), 0)
+	return r, err == nil
+}
 
-// LookAt gives a copy of the record of one pool, of all cores together.
-func (m *Marshal) LookAt(pool int) (r marshal.Record, ok bool) {
+// LookAt gives a copy of the record of one pool, of all cores together. It waits for each core until the context ends.
+func (m *Marshal) LookAt(ctx context.Context, pool int) (r marshal.Record, err error) {
 	for i, l := range m.groups[pool].lanes {
-		var one marshal.Record
-		if !l.loop.Ask(func() { one = l.core.Look() }) {
-			return r, false
+		one, err := loop.Query(ctx, l.loop, l.core.Look)
+		if err != nil {
+			return r, fmt.Errorf("the record of core %d: %w", i, err)
 		}
 		if i == 0 {
 			r = one
@@ -728,7 +773,7 @@
 			r.Add(one)
 		}
 	}
-	return r, true
+	return r, nil
 }
 
 // told hands a peer's message to the pool that it is for: where there are several, its number stands before it.
