A keyed repeat isn't written once its memory window is over

Symptom: TestRepeatKeepsToTheMemoryWindow, 'after the window the node got POST /book': an effect twice.

Cause: the module decides on the repeat within the window; front/exchange.go, request, writes it whenever the connection comes up, until the client's time. The Host has no limit on when a dispatch is written.

Change: the exchange notes when the first dispatch began that may have run, and neither waits for a connection nor writes once the window from then is over; the dispatch ends as never run. The platform's settings hand the window on (memory-ms).

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -338,6 +338,11 @@
 	}
 }
 
+// NeverRan says that an ending proves that nothing ran.
+func NeverRan(how balance.Ending) bool {
+	return how == balance.Full || how == balance.NoConnect || how == balance.Ignored
+}
+
 // Timeout says that a connection's deadline passed.
 func Timeout(err error) bool {
 	var n net.Error
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -47,6 +47,10 @@
 	resumed bool
 	how     balance.Ending // of the last dispatch
 
+	// A dispatch that may have run is sent again only while nodes remember the key: memory ms from when the first such began.
+	memory   float64 // 0 for no bound
+	ranSince float64 // 0 for none that may have run
+
 	state   atomic.Int32 // offered, taken or withdrawn; once more for each time that it was offered
 	claimed atomic.Bool  // the final answer has been decided on, by a success or by the module
 
@@ -373,7 +377,7 @@
 	if x.broken || within <= 0 { // what was streamed is gone, or there is no time left: this dispatch is never sent
 		f.Canceled = true
 	} else {
-		node = x.request(cmd.address, until, &f)
+		node = x.request(cmd.address, until, x.writeBy(start, until), &f)
 	}
 	if node != nil {
 		answered, keep, report = x.answer(node, cmd.no, start, &f)
@@ -383,11 +387,26 @@
 	}
 	f.Expired = f.Expired || !time.Now().Before(until)
 	x.how = x.detach(&f)
+	if x.ranSince == 0 && !back.NeverRan(x.how) {
+		x.ranSince = start
+	}
 	how, took := x.how, s.Clock.Now()-start
 	x.loop().Post(func() { x.core().Ended(x.id, cmd.no, how, took, false, report) })
 	return false, false
 }
 
+// writeBy is until when a dispatch that begins now may be written: the connection to its node may come up late.
+func (x *exchange) writeBy(now float64, until time.Time) time.Time {
+	if x.memory == 0 || x.ranSince == 0 {
+		return until
+	}
+	end := time.Now().Add(ms(x.ranSince + x.memory - now))
+	if end.Before(until) {
+		return end
+	}
+	return until
+}
+
 // detach ends the dispatch that is out: from here on a cancel finds nothing.
 func (x *exchange) detach(f *back.Fate) balance.Ending {
 	x.mu.Lock()
@@ -412,7 +431,7 @@
 
 // request connects and writes the request. A kept connection that takes no byte of it is replaced by a new one:
 // nothing has run. It returns nil where the dispatch has ended, with its fate.
-func (x *exchange) request(address string, until time.Time, f *back.Fate) *back.Conn {
+func (x *exchange) request(address string, until, writeBy time.Time, f *back.Fate) *back.Conn {
 	for fresh := false; ; fresh = true {
 		var node *back.Conn
 		if !fresh {
@@ -420,7 +439,7 @@
 		}
 		if node == nil {
 			var err error
-			if node, err = x.dial(address, until); err != nil {
+			if node, err = x.dial(address, writeBy); err != nil {
 				f.Err = err
 				return nil
 			}
@@ -431,7 +450,8 @@
 			f.Err = context.Canceled
 			return nil
 		}
-		if x.c.s.Pool.Late(address) && !x.c.s.Faults.Late { // decided on before the word that the node drains, or without it: never sent
+		// Decided on before the word that the node drains, or without it; or while nodes still knew the key: never sent.
+		if x.c.s.Pool.Late(address) && !x.c.s.Faults.Late || !time.Now().Before(writeBy) {
 			x.c.s.Pool.Put(node)
 			f.Canceled, f.Err = true, errLate
 			return nil
@@ -475,7 +495,7 @@
 	return x.c.s.Pool.Get(ctx, address, true)
 }
 
-var errLate = errors.New("the node takes nothing new")
+var errLate = errors.New("too late for anything new to this node")
 
 var errClient = errors.New("the client broke off its body")
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -666,6 +666,9 @@
 		return false
 	}
 	x.tenant, x.cost, x.write, x.key, x.retry = asked.Tenant, asked.Cost, asked.Write, asked.Key, asked.Retry
+	if o := s.Set.Operation[asked.Op]; o.Repeat == settings.Repeat_FINGERPRINTED {
+		x.memory = o.MemoryMs
+	}
 	x.dueAt = s.Clock.Now() + budget
 	x.answerBy = x.dueAt + s.Current().Times.AnswerMs/2
 	at := 0
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -176,10 +176,11 @@
 		repeat, ok := map[string]settings.Repeat{"idempotent": settings.Repeat_IDEMPOTENT,
 			"fingerprinted": settings.Repeat_FINGERPRINTED, "side-effecting": settings.Repeat_SIDE_EFFECTING}[text("repeat")]
 		limit, _ := o["limit-ms"].(float64)
+		memory, _ := o["memory-ms"].(float64)
 		if !ok || text("name") == "" || limit <= 0 {
 			return nil, fmt.Errorf("operation %q: name, repeat or time limit is missing or unknown", text("name"))
 		}
-		s.Operation = append(s.Operation, &settings.Operation{Name: text("name"), Repeat: repeat, LimitMs: limit})
+		s.Operation = append(s.Operation, &settings.Operation{Name: text("name"), Repeat: repeat, LimitMs: limit, MemoryMs: memory})
 		s.Times.StopMs = max(s.Times.StopMs, limit+restMs)
 	}
 	tenants, _ := c.Module["tenants"].([]balance.Settings)
