Failing tests: a cap that falls between decision and write, descriptors that run out

TestCapFallsBetweenDecisionAndWrite: '8 requests reached the build after its cap had fallen; 3 may' (allowance 1, 0.05 of 8, and the 2 attempts that pass).

--- a/cmd/arrowcleat/platform_test.go
+++ b/cmd/arrowcleat/platform_test.go
@@ -112,12 +112,18 @@
 
 // run starts a marshal and waits until it serves.
 func run(t *testing.T, configured func(address string) string) *program {
+	t.Helper()
+	return runAs(t, exec.Command(os.Args[0], "platform"), configured)
+}
+
+// runAs does so by a command of its own.
+func runAs(t *testing.T, command *exec.Cmd, configured func(address string) string) *program {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &program{Cmd: exec.Command(os.Args[0], "platform"), t: t, address: ln.Addr().String(),
+	p := &program{Cmd: command, t: t, address: ln.Addr().String(),
 		file: filepath.Join(t.TempDir(), "config.json")}
 	ln.Close()
 	p.write(configured(p.address))
@@ -205,6 +211,71 @@
 	}
 }
 
+// Descriptors run out, by clients that say nothing. A connection that waits to be accepted meanwhile was looked at again after up to
+// 1 s, however soon there were descriptors again, and its request of 0.6 s was answered after its time. What is open is served on.
+func TestOutOfDescriptors(t *testing.T) {
+	const descriptors, silent = 48, 60
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "fine") }))
+	defer node.Close()
+	list, _ := follow(t, fmt.Sprintf(`{"seq":1,"whole":true,"hosts":[{"host":"a","dial":%q,"site":"here","health":"in_service","build":7}]}`,
+		node.Listener.Addr()))
+	api, _ := follow(t, "{}\n")
+	limited := exec.Command("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" platform`, descriptors), os.Args[0])
+	p := runAs(t, limited, func(address string) string { return fmt.Sprintf(configuration, address, list, api) })
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", p.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	const within = 600 * time.Millisecond
+	number := 0
+	send := func(c net.Conn) {
+		number++
+		fmt.Fprintf(c, "GET /look HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %d\r\nX-Qos: look\r\nX-Expires-In-Ms: %d\r\n\r\n", number, within.Milliseconds())
+	}
+	answered := func(c net.Conn) error {
+		c.SetReadDeadline(time.Now().Add(within))
+		q, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err == nil && q.StatusCode != 200 {
+			err = errors.New(q.Status)
+		}
+		return err
+	}
+	kept := dial()
+	defer kept.Close()
+	ask := func() {
+		send(kept)
+		if err := answered(kept); err != nil {
+			t.Errorf("on a connection that is open: %v", err)
+		}
+	}
+	ask()
+	var quiet []net.Conn
+	for range silent {
+		quiet = append(quiet, dial())
+	}
+	for range 14 {
+		time.Sleep(100 * time.Millisecond) // the connection to the node rests a moment after each answer
+		ask()
+	}
+	waits := dial() // in the accept queue
+	defer waits.Close()
+	send(waits)
+	for _, c := range quiet {
+		c.Close()
+	}
+	if err := answered(waits); err != nil {
+		t.Errorf("on a connection that waited to be accepted: %v", err)
+	}
+	ask()
+	p.Process.Signal(syscall.SIGTERM)
+	if err := p.Wait(); err != nil || !strings.Contains(p.log.String(), "no connection could be accepted") {
+		t.Errorf("it ended with %v:\n%s", err, p.log.String())
+	}
+}
+
 // Under requests a marshal takes configurations that can be read, two in a row and none that can't, and leaves at TERM with
 // every request answered.
 func TestSignalsUnderRequests(t *testing.T) {
--- a/internal/serve/leave_test.go
+++ b/internal/serve/leave_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"arrowcleat/balance"
+	"arrowcleat/internal/control"
 	"arrowcleat/internal/settings"
 )
 
@@ -39,6 +40,7 @@
 		}
 	}
 	return address, func() (got string) { // for as long as the kernel tries again to connect
+		syscall.Listen(fd, 64) // all that wait may come up at once
 		syscall.SetNonblock(fd, true)
 		var accepted []int
 		for end := time.Now().Add(1200 * time.Millisecond); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
@@ -279,3 +281,29 @@
 		t.Errorf("%d dispatches, %d open", l.Dispatches, l.Open)
 	}
 }
+
+// A build's cap falls while what was decided on under the higher cap waits for connections. They come up a second later, and all of
+// it reached the build's nodes long after the lower cap binds (150 ms after it is told): 8 requests where 1 + 0.05 x 8 and 2 more
+// may be. What was decided on before a lower cap is not written after it.
+func TestCapFallsBetweenDecisionAndWrite(t *testing.T) {
+	const requests, lower, passes = 8, 0.05, 2
+	hangs, empty := full(t)
+	r := start(t, 0, ok, func(s *settings.Settings) {
+		s.Times.DialMs = 10000
+		s.Operation[0].LimitMs = 10000
+		s.Rollout.CountedOverMs = 5000
+	}, rigHooks{})
+	r.roster.Set(control.Line{Node: balance.Node{ID: 9, Ver: 2, Size: 1}, Address: hangs}, 0)
+	r.until("it is known", func() bool { l, _ := r.m.Look(); return len(l.Nodes) == 1 })
+	g := r.m.groups[0]
+	g.staged(2, 0, balance.OnTrial, 1, 0, false)
+	for range requests {
+		r.client().send(get, "look")
+	}
+	r.until("all are on their way", func() bool { l, _ := r.m.Look(); return l.Dispatches == requests })
+	g.staged(2, 0, balance.OnTrial, lower, 0, false)
+	most := int(r.set.Rollout.Allowance + lower*requests + passes)
+	if n := strings.Count(empty(), "GET /look"); n > most {
+		t.Errorf("%d requests reached the build after its cap had fallen; %d may", n, most)
+	}
+}
