What was decided on before a lower cap isn't written after it; accepting is tried every 20 ms

Symptoms: TestCapFallsBetweenDecisionAndWrite, 8 requests of which 3 may reach the build; TestOutOfDescriptors, a request of 0.6 s in the accept queue gets no answer though descriptors are free again.

Causes: exchange.go, request, knew only a cap that fell to nothing (Pool.Shut), so that a connection which came up late carried what a higher cap had allowed. front.go, listen, waited up to 1 s between two tries to accept; lastAccepts took a lack of descriptors for an empty queue and closed the listener on what waited in it.

Change: Pool.Lower notes when the cap of an address' build fell; a dispatch decided on before that is never written and ends as never run. Accepting waits 20 ms at most (a constant: deadlines are told per request, from 0.1 s up, and nobody tells when a descriptor is free), logs once a second, and at the end goes on until its 50 ms are over.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -36,6 +36,7 @@
 	total atomic.Int64
 	nodes sync.Map // address -> *idle
 	shut  sync.Map // address -> time.Time from which on nothing new goes there
+	fell  sync.Map // address -> time.Time at which the cap of its build fell last
 	done  atomic.Bool
 }
 
@@ -53,6 +54,15 @@
 	return ok && !time.Now().Before(from.(time.Time))
 }
 
+// Lower notes that the cap of a build fell whose node has this address. What was decided on before must not be written any
+// more: it may have waited for its connection until long after the lower cap binds. Superseded says so of a decision.
+func (p *Pool) Lower(address string) { p.fell.Store(address, time.Now()) }
+
+func (p *Pool) Superseded(address string, decided time.Time) bool {
+	at, ok := p.fell.Load(address)
+	return ok && decided.Before(at.(time.Time))
+}
+
 type idle struct {
 	mu    sync.Mutex
 	conns []*Conn // the last one used is at the end
@@ -268,12 +278,14 @@
 
 // Sweep closes what has been unused for too long.
 func (p *Pool) Sweep() {
-	p.shut.Range(func(address, from any) bool {
-		if time.Since(from.(time.Time)) > keepShut {
-			p.shut.Delete(address)
-		}
-		return true
-	})
+	for _, noted := range []*sync.Map{&p.shut, &p.fell} {
+		noted.Range(func(address, from any) bool {
+			if time.Since(from.(time.Time)) > keepShut {
+				noted.Delete(address)
+			}
+			return true
+		})
+	}
 	p.nodes.Range(func(_, v any) bool {
 		n := v.(*idle)
 		n.mu.Lock()
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -123,6 +123,7 @@
 	address    string
 	within     float64
 	retryAfter float64
+	decided    time.Time
 }
 
 const (
@@ -145,7 +146,9 @@
 		return
 	}
 	x.no, x.out, x.canceled = no, true, false
-	x.send(command{what: doDispatch, no: no, address: address, within: within})
+	// What has run of the call so far counts as before the decision: a cap that fell meanwhile isn't known to it.
+	inCall := ms(x.c.s.Clock.Now() - x.loop().Now())
+	x.send(command{what: doDispatch, no: no, address: address, within: within, decided: time.Now().Add(-inCall)})
 }
 
 // neverSent tells the module that a dispatch has ended without having begun.
@@ -377,7 +380,7 @@
 	if x.broken || within <= 0 { // what was streamed is gone, or there is no time left: this dispatch is never sent
 		f.Canceled = true
 	} else {
-		node = x.request(cmd.address, until, x.writeBy(start, until), &f)
+		node = x.request(cmd.address, until, x.writeBy(start, until), cmd.decided, &f)
 	}
 	if node != nil {
 		answered, keep, report = x.answer(node, cmd.no, start, &f)
@@ -431,7 +434,7 @@
 
 // request connects and writes the request. A kept connection that takes no byte of it is replaced by a new one:
 // nothing has run. It returns nil where the dispatch has ended, with its fate.
-func (x *exchange) request(address string, until, writeBy time.Time, f *back.Fate) *back.Conn {
+func (x *exchange) request(address string, until, writeBy, decided time.Time, f *back.Fate) *back.Conn {
 	for fresh := false; ; fresh = true {
 		var node *back.Conn
 		if !fresh {
@@ -450,8 +453,10 @@
 			f.Err = context.Canceled
 			return nil
 		}
-		// Decided on before the word that the node drains, or without it; or while nodes still knew the key: never sent.
-		if x.c.s.Pool.Late(address) && !x.c.s.Faults.Late || !time.Now().Before(writeBy) {
+		// Decided on before the word that the node drains, or without it; under a cap that has fallen since; or while nodes
+		// still knew the key: never sent.
+		late := x.c.s.Pool.Late(address) && !x.c.s.Faults.Late
+		if late || x.c.s.Pool.Superseded(address, decided) || !time.Now().Before(writeBy) {
 			x.c.s.Pool.Put(node)
 			f.Canceled, f.Err = true, errLate
 			return nil
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -113,8 +113,17 @@
 	return errors.Join(all...)
 }
 
+// How long accepting waits where descriptors have run out, and how often it says so. Nobody tells when one is free again, and what
+// waits in the accept queue has its time running: the longest wait is short beside any time that a client gives.
+const (
+	acceptWait     = time.Millisecond
+	acceptWaitMost = 20 * time.Millisecond
+	acceptSays     = time.Second
+)
+
 func (s *Server) listen(ln Listener) error {
-	wait := time.Millisecond
+	wait := acceptWait
+	var said time.Time
 	for {
 		nc, err := ln.Accept()
 		if err != nil {
@@ -124,14 +133,17 @@
 			}
 			var n net.Error
 			if errors.As(err, &n) && !errors.Is(err, net.ErrClosed) { // out of descriptors: they come back
-				s.Log.Warn("no connection could be accepted", "err", err)
+				if time.Since(said) > acceptSays {
+					s.Log.Warn("no connection could be accepted", "err", err)
+					said = time.Now()
+				}
 				time.Sleep(wait)
-				wait = min(2*wait, time.Second)
+				wait = min(2*wait, acceptWaitMost)
 				continue
 			}
 			return fmt.Errorf("accepting connections: %w", err)
 		}
-		wait = time.Millisecond
+		wait = acceptWait
 		s.accept(nc, ln.Name)
 	}
 }
@@ -150,8 +162,10 @@
 		if nc, err := ln.Accept(); err == nil {
 			s.accept(nc, ln.Name)
 			idle = 0
-		} else {
+		} else if back.Timeout(err) {
 			idle++
+		} else { // out of descriptors: what waits is still there
+			time.Sleep(acceptWait)
 		}
 	}
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -73,6 +73,10 @@
 	once    sync.Once
 	stage   func(*lane) // tells where the newest build stands
 	none    int         // the build of which nothing may be exposed, its cap being 0; or -1
+	capOf   struct {    // the cap told last
+		ver int
+		cap float64
+	}
 }
 
 // lane is one instance of a group's module, on its core's loop.
@@ -420,6 +424,25 @@
 	for _, l := range g.lanes {
 		l.loop.News(func() { l.core.Staged(ver, stage, phase, cap, age, l == to) })
 	}
+	g.capped(ver, phase, cap)
+}
+
+// capped keeps from nodes of a build whose cap has fallen what was decided on before. It comes after the news has been queued: what
+// is decided later knows it.
+func (g *group) capped(ver int, phase balance.Phase, cap float64) {
+	if phase == balance.Released {
+		cap = 1
+	}
+	before := g.capOf
+	g.capOf.ver, g.capOf.cap = ver, cap
+	if before.ver != ver || cap >= before.cap {
+		return
+	}
+	for _, line := range g.list.lines {
+		if line.Ver == ver {
+			g.m.pool.Lower(line.Address)
+		}
+	}
 }
 
 // closed keeps from nodes of a build whose cap has fallen to nothing what was decided on before and is not written yet.
