Nothing stays of connections that come back to a dropped node

Cause: back.go, Put, took a node's list of connections, and Drop could take it away before Put had its lock: the connection was in nobody's list, open and counted for ever. The list of an address to which a connection came back after Drop was never removed.

The pool's times come from the marshal's clock.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -23,6 +23,7 @@
 
 // Pool keeps connections to nodes between requests.
 type Pool struct {
+	Now    func() time.Time // nil: the machine's clock
 	Limits h1.Limits
 	Dial   time.Duration // the longest a connection may take to open
 	Idle   time.Duration // how long one is kept unused
@@ -40,23 +41,31 @@
 	done  atomic.Bool
 }
 
+// Time is the time by which the pool keeps and forgets.
+func (p *Pool) Time() time.Time {
+	if p.Now != nil {
+		return p.Now()
+	}
+	return time.Now()
+}
+
 // Shut notes the first word that a node drains or is gone, after which it gets nothing new once a grace is over; Open,
 // that it serves. The word may be here before a core that stands still has it, or come while a dispatch waits to be
 // written: Late says that it must not be any more.
 func (p *Pool) Shut(address string, grace time.Duration) {
-	p.shut.LoadOrStore(address, time.Now().Add(grace))
+	p.shut.LoadOrStore(address, p.Time().Add(grace))
 }
 
 func (p *Pool) Open(address string) { p.shut.Delete(address) }
 
 func (p *Pool) Late(address string) bool {
 	from, ok := p.shut.Load(address)
-	return ok && !time.Now().Before(from.(time.Time))
+	return ok && !p.Time().Before(from.(time.Time))
 }
 
 // Lower notes that the cap of a build fell whose node has this address. What was decided on before must not be written any
 // more: it may have waited for its connection until long after the lower cap binds. Superseded says so of a decision.
-func (p *Pool) Lower(address string) { p.fell.Store(address, time.Now()) }
+func (p *Pool) Lower(address string) { p.fell.Store(address, p.Time()) }
 
 func (p *Pool) Superseded(address string, decided time.Time) bool {
 	at, ok := p.fell.Load(address)
@@ -64,8 +73,9 @@
 }
 
 type idle struct {
-	mu    sync.Mutex
-	conns []*Conn // the last one used is at the end
+	mu      sync.Mutex
+	conns   []*Conn // the last one used is at the end
+	removed bool    // it is no longer among the pool's: whoever holds it looks again
 }
 
 // Conn is one connection to a node.
@@ -99,7 +109,7 @@
 		n.mu.Lock()
 		var c *Conn
 		last := len(n.conns) - 1
-		for last >= 0 && time.Since(n.conns[last].since) < p.Settle {
+		for last >= 0 && p.Time().Sub(n.conns[last].since) < p.Settle {
 			last--
 		}
 		if last >= 0 {
@@ -107,7 +117,7 @@
 			n.conns = slices.Delete(n.conns, last, last+1)
 		}
 		n.mu.Unlock()
-		if c == nil || time.Since(c.since) < p.Idle && c.open() {
+		if c == nil || p.Time().Sub(c.since) < p.Idle && c.open() {
 			return c
 		}
 		c.Close()
@@ -222,7 +232,7 @@
 	defer oldest.mu.Unlock()
 	if len(oldest.conns) > 0 {
 		oldest.conns[0].Close()
-		oldest.conns = append(oldest.conns[:0], oldest.conns[1:]...)
+		oldest.conns = slices.Delete(oldest.conns, 0, 1)
 	}
 }
 
@@ -243,14 +253,9 @@
 
 // Put takes back a connection on which nothing is out.
 func (p *Pool) Put(c *Conn) {
-	c.Kept, c.since = true, time.Now()
+	c.Kept, c.since = true, p.Time()
 	c.SetDeadline(time.Time{})
-	v, ok := p.nodes.Load(c.address)
-	if !ok {
-		v, _ = p.nodes.LoadOrStore(c.address, &idle{})
-	}
-	n := v.(*idle)
-	n.mu.Lock()
+	n := p.idleOf(c.address)
 	keep := len(n.conns) < p.Most
 	if keep {
 		n.conns = append(n.conns, c)
@@ -263,39 +268,67 @@
 	}
 }
 
-// Drop closes what is kept for an address.
-func (p *Pool) Drop(address string) {
-	if v, ok := p.nodes.LoadAndDelete(address); ok {
+// idleOf gives the connections kept for an address, locked.
+func (p *Pool) idleOf(address string) *idle {
+	for {
+		v, ok := p.nodes.Load(address)
+		if !ok {
+			v, _ = p.nodes.LoadOrStore(address, &idle{})
+		}
 		n := v.(*idle)
 		n.mu.Lock()
-		defer n.mu.Unlock()
-		for _, c := range n.conns {
-			c.Close()
+		if !n.removed {
+			return n
 		}
-		n.conns = nil
+		n.mu.Unlock()
 	}
 }
 
+// Drop closes what is kept for an address.
+func (p *Pool) Drop(address string) {
+	v, ok := p.nodes.Load(address)
+	if !ok {
+		return
+	}
+	n := v.(*idle)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns {
+		c.Close()
+	}
+	n.conns = nil
+	p.remove(address, n)
+}
+
+// remove forgets an address for which nothing is kept; its lock is held.
+func (p *Pool) remove(address string, n *idle) {
+	n.removed = true
+	p.nodes.CompareAndDelete(address, n)
+}
+
 // Sweep closes what has been unused for too long.
 func (p *Pool) Sweep() {
 	for _, noted := range []*sync.Map{&p.shut, &p.fell} {
 		noted.Range(func(address, from any) bool {
-			if time.Since(from.(time.Time)) > keepShut {
+			if p.Time().Sub(from.(time.Time)) > keepShut {
 				noted.Delete(address)
 			}
 			return true
 		})
 	}
-	p.nodes.Range(func(_, v any) bool {
+	p.nodes.Range(func(address, v any) bool {
 		n := v.(*idle)
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		old := 0
-		for old < len(n.conns) && time.Since(n.conns[old].since) >= p.Idle {
+		for old < len(n.conns) && p.Time().Sub(n.conns[old].since) >= p.Idle {
 			n.conns[old].Close()
 			old++
 		}
-		n.conns = append(n.conns[:0], n.conns[old:]...)
+		n.conns = slices.Delete(n.conns, 0, old)
+		if len(n.conns) == 0 && !n.removed {
+			p.remove(address.(string), n)
+		}
 		return true
 	})
 }
--- a/internal/back/back_test.go
+++ b/internal/back/back_test.go
@@ -208,3 +208,33 @@
 	}
 	p.Put(first)
 }
+
+// Connections come back while their node is dropped, and after it. One that came between the look for its node's connections and
+// the end of these was in a list that nobody had any more: open for ever and counted for ever; and of each address that a connection
+// came back to, an empty list stayed. Once they have been unused for their time, nothing is left.
+func TestNothingStaysOfDroppedNodes(t *testing.T) {
+	p := &Pool{Idle: time.Millisecond, Most: 9}
+	var wg sync.WaitGroup
+	for i := range 3000 {
+		address := fmt.Sprint("node ", i)
+		for range 3 {
+			mine, other := net.Pipe()
+			defer other.Close()
+			p.total.Add(1)
+			c := &Conn{Conn: mine, address: address, pool: p, R: h1.NewReader(mine, readBuffer)}
+			wg.Go(func() { p.Put(c) })
+		}
+		wg.Go(func() { p.Drop(address) })
+		if i%100 == 0 {
+			wg.Wait()
+		}
+	}
+	wg.Wait()
+	time.Sleep(2 * p.Idle)
+	p.Sweep()
+	lists := 0
+	p.nodes.Range(func(any, any) bool { lists++; return true })
+	if n := p.total.Load(); n != 0 || lists != 0 {
+		t.Errorf("%d connections stay open, %d lists stay", n, lists)
+	}
+}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -148,7 +148,7 @@
 	x.no, x.out, x.canceled = no, true, false
 	// What has run of the call so far counts as before the decision: a cap that fell meanwhile isn't known to it.
 	inCall := ms(x.c.s.Clock.Now() - x.loop().Now())
-	x.send(command{what: doDispatch, no: no, address: address, within: within, decided: time.Now().Add(-inCall)})
+	x.send(command{what: doDispatch, no: no, address: address, within: within, decided: x.c.s.Pool.Time().Add(-inCall)})
 }
 
 // neverSent tells the module that a dispatch has ended without having begun.
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -40,6 +40,7 @@
 	Front *front.Server
 
 	pool   *back.Pool
+	now    func() time.Time // by the loops' clock
 	groups []*group
 	peers  Peers
 	lns    []front.Listener // the main one first
@@ -135,6 +136,12 @@
 	Close() error
 }
 
+// wallClock gives a loop's clock as times, for what is kept or forgotten by them.
+func wallClock(clock loop.Clock) func() time.Time {
+	begun, at := time.Now(), clock.Now()
+	return func() time.Time { return begun.Add(dur(clock.Now() - at)) }
+}
+
 func dur(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 // Start opens the sockets and starts a marshal. It takes invocations from then on.
@@ -155,7 +162,8 @@
 		m.Loops = append(m.Loops, l)
 	}
 	m.Loop = m.Loops[0]
-	m.pool = &back.Pool{Limits: h1.Limits{Line: int(set.Limits.LineBytes), Header: int(set.Limits.HeaderBytes)},
+	m.now = wallClock(hooks.Clock)
+	m.pool = &back.Pool{Now: m.now, Limits: h1.Limits{Line: int(set.Limits.LineBytes), Header: int(set.Limits.HeaderBytes)},
 		Dial: dur(set.Times.DialMs), Idle: dur(set.Times.NodeIdleMs), Most: int(set.Limits.IdlePerNode)}
 	seed := set.Seed
 	if seed == 0 {
