TestLongLife looks once all that is kept for a time is forgotten, by a clock handed in

Symptom: beside load TestLongLife failed (goroutines 58 then 86, descriptors 101 then 160; 6 of 20), and its heap grew by 3.7 kB a host.

Causes, by traces: (1) the goroutines and descriptors are the kept connections, each with the stand-in node's two goroutines on its other side: one rests 20 ms after its answer, so that as many are kept as requests are answered in 20 ms, at most the share of descriptors for nodes; at thin traffic (30 requests a second and less) that is one or two a node, and the others end after conn-idle.

Change: the marshal takes a clock (platform.start, loop.WallClock; names, Pool and Core forget by it).

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -49,14 +49,14 @@
 	return time.Now()
 }
 
-// Shut notes the first word that a node drains or is gone, after which it gets nothing new once a grace is over; Open,
+// Shut notes the first word that a node drains or is gone, after which it gets nothing new once a grace is over; Reopen,
 // that it serves. The word may be here before a core that stands still has it, or come while a dispatch waits to be
 // written: Late says that it must not be any more.
 func (p *Pool) Shut(address string, grace time.Duration) {
 	p.shut.LoadOrStore(address, p.Time().Add(grace))
 }
 
-func (p *Pool) Open(address string) { p.shut.Delete(address) }
+func (p *Pool) Reopen(address string) { p.shut.Delete(address) }
 
 func (p *Pool) Late(address string) bool {
 	from, ok := p.shut.Load(address)
@@ -212,6 +212,9 @@
 	return c.Conn.Close()
 }
 
+// Open is the number of connections that are open or being opened.
+func (p *Pool) Open() int { return int(p.total.Load()) }
+
 // dropOldest closes the connection that has been unused for longest.
 func (p *Pool) dropOldest() {
 	var oldest *idle
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -38,6 +38,14 @@
 	return func() { t.Stop() }
 }
 
+// WallClock gives a clock's time as times of day, for what is kept or forgotten by them.
+func WallClock(clock Clock) func() time.Time {
+	begun, at := time.Now(), clock.Now()
+	return func() time.Time {
+		return begun.Add(time.Duration((clock.Now() - at) * float64(time.Millisecond)))
+	}
+}
+
 // Loop is a queue of calls, and the timers, of one instance. Only the goroutine of Run runs calls: whoever posts one never
 // waits for it, so that a call which blocks holds up nobody who owes a client an answer.
 type Loop struct {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -12,6 +12,7 @@
 	"arrowcleat/balance"
 	"arrowcleat/internal/control"
 	"arrowcleat/internal/front"
+	"arrowcleat/internal/loop"
 	"arrowcleat/internal/serve"
 )
 
@@ -23,13 +24,17 @@
 }
 
 // Start starts a marshal as a configuration says.
-func Start(c *Config, log *slog.Logger) (*Marshal, error) {
+func Start(c *Config, log *slog.Logger) (*Marshal, error) { return start(c, log, loop.Monotonic()) }
+
+func start(c *Config, log *slog.Logger, clock loop.Clock) (*Marshal, error) {
+	c.now = loop.WallClock(clock)
 	known, err := c.Known(log)
 	if err != nil {
 		log.Warn("the list that was held last is of no use", "err", err)
 	}
 	m := &Marshal{}
 	hooks := serve.Hooks{
+		Clock: clock,
 		Ways: &serve.Ways{
 			Terms:     front.Terms{Read: c.asked, Health: "/healthz", MostBody: mostBody, FirstMs: firstMs, RetryAfter: c.retryAfter, Quiet: true},
 			Settings:  c.Module,
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -136,12 +136,6 @@
 	Close() error
 }
 
-// wallClock gives a loop's clock as times, for what is kept or forgotten by them.
-func wallClock(clock loop.Clock) func() time.Time {
-	begun, at := time.Now(), clock.Now()
-	return func() time.Time { return begun.Add(dur(clock.Now() - at)) }
-}
-
 func dur(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 // Start opens the sockets and starts a marshal. It takes invocations from then on.
@@ -162,7 +156,7 @@
 		m.Loops = append(m.Loops, l)
 	}
 	m.Loop = m.Loops[0]
-	m.now = wallClock(hooks.Clock)
+	m.now = loop.WallClock(hooks.Clock)
 	m.pool = &back.Pool{Now: m.now, Limits: h1.Limits{Line: int(set.Limits.LineBytes), Header: int(set.Limits.HeaderBytes)},
 		Dial: dur(set.Times.DialMs), Idle: dur(set.Times.NodeIdleMs), Most: int(set.Limits.IdlePerNode)}
 	seed := set.Seed
@@ -471,7 +465,7 @@
 		if line.Ver == none {
 			g.m.pool.Shut(line.Address, 0)
 		} else if line.Ver == before {
-			g.m.pool.Open(line.Address)
+			g.m.pool.Reopen(line.Address)
 		}
 	}
 }
@@ -547,7 +541,7 @@
 func (g *group) read(lines []control.Line) ([]balance.Node, []string) {
 	for _, line := range lines {
 		if line.Health == balance.Serving && line.Ver != g.none {
-			g.m.pool.Open(line.Address)
+			g.m.pool.Reopen(line.Address)
 		} else if line.Health == balance.Serving {
 			g.m.pool.Shut(line.Address, 0)
 		} else if !g.list.other(line) {
@@ -876,3 +870,9 @@
 	}
 	return count
 }
+
+// Sweep lets go of what is kept for nodes and whose time is over; it happens by itself now and then.
+func (m *Marshal) Sweep() { m.pool.Sweep() }
+
+// NodeConnections is the number of connections to nodes that are open.
+func (m *Marshal) NodeConnections() int { return m.pool.Open() }
