Soak: seeded runs of the real marshal process under signals, audited from the sockets

Change: package soak draws a plan from a seed (settings, nodes, lists, clients, lives, signals) and plays it; arrowcleat soak runs it. standin gains the platform's side: PlatformNode, Agent, ReleaseAPI. The auditor gains the platform's bounds: a lower cap after 150 ms, 2 attempts and 4% that pass, the time told to nodes, nothing begun for clients that left, what a kill leaves unanswered. The marshal's view tells its goroutines.

--- /dev/null
+++ b/cmd/arrowcleat/soak.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"sync"
+
+	"github.com/spf13/cobra"
+
+	"arrowcleat/internal/soak"
+)
+
+// runsAtOnce leaves each run two processors: what it checks is bound to times.
+var runsAtOnce = max(1, runtime.NumCPU()/2)
+
+func soakCommand() *cobra.Command {
+	var seed uint64
+	var runs int
+	var dir, program string
+	c := &cobra.Command{
+		Use:   "soak",
+		Short: "Play seeded runs of the platform's marshal under signals, and audit them",
+		Long: `soak plays runs of "arrowcleat platform" as a process on loopback: stand-in discovery, release API and nodes, clients that use
+their connections until the kill, signals in series, restarts. All is drawn from the seed: the same seed plays the same plan.
+
+Exit code 0: every run kept the rules. 1: one did not; its logs stay in --dir.`,
+		Example: "  arrowcleat soak --seed 1 --runs 50",
+		Args:    noArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			var err error
+			if program == "" {
+				if program, err = os.Executable(); err != nil {
+					return err
+				}
+			}
+			if dir == "" {
+				if dir, err = os.MkdirTemp("", "arrowcleat-soak-"); err != nil {
+					return err
+				}
+			}
+			return soakAll(c.OutOrStdout(), soak.Options{Seed: seed, Dir: dir, Program: []string{program, "platform"}}, runs)
+		},
+	}
+	c.Flags().Uint64Var(&seed, "seed", 1, "the first run's")
+	c.Flags().IntVar(&runs, "runs", 1, "how many, with the seeds that follow")
+	c.Flags().StringVar(&program, "program", "", "another build of arrowcleat to play; this one where it is left out")
+	c.Flags().StringVar(&dir, "dir", "", "for logs and configurations, a folder a seed; a temporary one where it is left out")
+	return c
+}
+
+// soakAll plays runs, some at once, and prints each.
+func soakAll(out io.Writer, o soak.Options, runs int) error {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	broken, requests := 0, 0
+	room := make(chan struct{}, runsAtOnce)
+	for i := range runs {
+		one := o
+		one.Seed += uint64(i)
+		one.Dir = filepath.Join(o.Dir, fmt.Sprint(one.Seed))
+		room <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-room }()
+			outcome, err := playSoak(one)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				broken++
+				fmt.Fprintf(out, "seed %d: %v\n", one.Seed, err)
+				return
+			}
+			requests += outcome.Invocations
+			if !outcome.Clean() {
+				broken++
+			}
+			outcome.Print(out)
+		})
+	}
+	wg.Wait()
+	fmt.Fprintf(out, "%d runs, %d requests taken, %d runs with findings; logs in %s\n", runs, requests, broken, o.Dir)
+	if broken > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+func playSoak(o soak.Options) (*soak.Outcome, error) {
+	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
+		return nil, err
+	}
+	return soak.Run(o)
+}
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -114,3 +114,38 @@
 		})
 	}
 }
+
+// What only a platform's protocol says is held against its bounds, and each breach of it is found.
+func TestPlatformBounds(t *testing.T) {
+	bounds := Bounds{LowerCap: 150, SpareSends: 2, SparePart: 0.04, ToldMs: 150, GoneMs: 100, StopMs: 700, ResendAtEnd: true}
+	told := func(ms float64) func(*record.Seen) { return func(s *record.Seen) { s.LimitMs = ms } }
+	answered := at(90, "answered", "a", 0, 0, final("succeeded"))
+	for _, c := range []struct {
+		name string
+		seen []*record.Seen
+		want string
+	}{
+		{"told of what is left", []*record.Seen{at(0, "asked", "a", 0, 0), at(50, "got", "a", 0, 1, told(480)), at(80, "done", "a", 0, 1), answered}, ""},
+		{"told of too much", []*record.Seen{at(0, "asked", "a", 0, 0), at(50, "got", "a", 0, 1, told(750)), at(80, "done", "a", 0, 1), answered}, "budget"},
+		{"begun as its client left", []*record.Seen{at(0, "asked", "a", 0, 0), at(10, "left", "a", 0, 0), at(180, "got", "a", 0, 1)}, ""},
+		{"begun long after its client had left", []*record.Seen{at(0, "asked", "a", 0, 0), at(10, "left", "a", 0, 0), at(250, "got", "a", 0, 1)}, "gone"},
+		{"crossed the end of a connection", []*record.Seen{at(0, "asked", "a", 0, 0), at(5, "crossed", "a", 0, 0), at(6, "asked", "a", 0, 0),
+			at(7, "got", "a", 0, 1), at(8, "done", "a", 0, 1), answered}, ""},
+		{"read, and its connection ended", []*record.Seen{at(0, "asked", "a", 0, 0), at(2, "got", "a", 0, 1), at(3, "done", "a", 0, 1),
+			at(5, "crossed", "a", 0, 0), at(6, "asked", "a", 0, 0), answered}, "answered"},
+		{"a new connection ended at a stop", []*record.Seen{at(0, "stopping", "", 0, 0), at(50, "asked", "a", 0, 0), at(60, "broke", "a", 0, 0)}, "answered"},
+		{"killed soon after the word to stop", []*record.Seen{at(0, "stopping", "", 0, 0), at(500, "asked", "a", 0, 0), at(900, "killed", "", 0, 0),
+			at(901, "broke", "a", 0, 0)}, ""},
+		{"killed long after the word to stop", []*record.Seen{at(0, "stopping", "", 0, 0), at(900, "asked", "a", 0, 0), at(1000, "killed", "", 0, 0),
+			at(1001, "broke", "a", 0, 0)}, "answered"},
+		{"killed in a life that was not told to stop", []*record.Seen{at(0, "stopping", "", 0, 0), at(500, "up", "", 0, 0),
+			at(1900, "asked", "a", 0, 0), at(2000, "killed", "", 0, 0), at(2001, "broke", "a", 0, 0)}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := CheckWithin(set, bounds, slices.Clone(c.seen))
+			if got := strings.Join(r.RulesBroken, " "); got != c.want {
+				t.Errorf("broken: %q, not %q: %v", got, c.want, r.Examples)
+			}
+		})
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
@@ -114,5 +115,5 @@
 	m.Log.Debug("view", "taken", r.Taken, "succeeded", r.Succeeded, "throttled", r.Throttled, "terminated", r.Terminated,
 		"lapsed", r.Lapsed, "open", r.Open, "dispatches", r.Dispatches, "endings", fmt.Sprint(r.Endings), "ver", r.Ver, "stage", r.Stage,
 		"cap", r.Cap, "connections", m.Front.Counts.Connections.Load(), "turned_away", m.Front.Counts.TurnedAway.Load(),
-		"malformed", m.Front.Counts.Malformed.Load(), "refused_behind", m.Behind(), "nodes", strings.Join(nodes, " "))
+		"malformed", m.Front.Counts.Malformed.Load(), "refused_behind", m.Behind(), "goroutines", runtime.NumGoroutine(), "nodes", strings.Join(nodes, " "))
 }
--- /dev/null
+++ b/internal/soak/events.go
@@ -0,0 +1,145 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"arrowcleat/balance"
+	"arrowcleat/internal/standin"
+)
+
+// playEvents has things happen to nodes, lists and builds until it is told to end.
+func (w *world) playEvents() (end func()) {
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	rnd := rand.New(rand.NewPCG(w.run.plan.Seed, 4))
+	events := []func(*rand.Rand, <-chan struct{}){w.drain, w.die, w.grow, w.silence, w.advance, w.advance}
+	wg.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(between(rnd, w.run.plan.Events/2, 2*w.run.plan.Events)):
+			}
+			event, seed := events[rnd.IntN(len(events))], rnd.Uint64()
+			wg.Go(func() { event(rand.New(rand.NewPCG(seed, 5)), done) })
+		}
+	})
+	return func() { close(done); wg.Wait() }
+}
+
+// serving gives one of the nodes that serve, if enough are left without it.
+func (w *world) serving(rnd *rand.Rand) (h standin.Host, ok bool) {
+	const least = 3
+	var all []standin.Host
+	for i := 1; i <= w.next; i++ { // in an order that the seed gives
+		for _, h := range w.hosts {
+			if int(h.Number) == i && h.Health == standin.InService {
+				all = append(all, h)
+			}
+		}
+	}
+	if len(all) <= least {
+		return h, false
+	}
+	return all[rnd.IntN(len(all))], true
+}
+
+// take changes the health of a node that serves.
+func (w *world) take(rnd *rand.Rand, health string) (h standin.Host, n *standin.PlatformNode, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if h, ok = w.serving(rnd); !ok {
+		return h, nil, false
+	}
+	h.Health = health
+	w.set(h)
+	return h, w.nodes[h.Name], true
+}
+
+func sleep(d time.Duration, done <-chan struct{}) {
+	select {
+	case <-time.After(d):
+	case <-done:
+	}
+}
+
+// drain has a node drain, and then go.
+func (w *world) drain(rnd *rand.Rand, done <-chan struct{}) {
+	h, n, ok := w.take(rnd, standin.Terminating)
+	if !ok {
+		return
+	}
+	sleep(w.run.plan.Grace+between(rnd, 0, 800*time.Millisecond), done)
+	w.mu.Lock()
+	h.Health = standin.Terminated
+	w.set(h)
+	w.mu.Unlock()
+	sleep(between(rnd, 0, 200*time.Millisecond), done)
+	n.Kill()
+}
+
+// die kills a node; the list says so late.
+func (w *world) die(rnd *rand.Rand, done <-chan struct{}) {
+	w.mu.Lock()
+	h, ok := w.serving(rnd)
+	n := w.nodes[h.Name]
+	w.mu.Unlock()
+	if !ok {
+		return
+	}
+	n.Kill()
+	sleep(between(rnd, 0, 500*time.Millisecond), done)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	h.Health = standin.Terminated
+	w.set(h)
+}
+
+// grow lists another node, of the newest build or of the first.
+func (w *world) grow(rnd *rand.Rand, _ <-chan struct{}) {
+	build := firstBuild
+	if rnd.IntN(2) == 0 {
+		build = w.release().Build
+	}
+	if err := w.add(build); err != nil {
+		w.run.fault("another node: %v", err)
+	}
+}
+
+// silence has the agents write nothing for a while.
+func (w *world) silence(rnd *rand.Rand, done <-chan struct{}) {
+	w.mu.Lock()
+	agents := append([]*standin.Agent{}, w.all...)
+	w.mu.Unlock()
+	for _, a := range agents {
+		a.Silence(true)
+	}
+	sleep(between(rnd, 200*time.Millisecond, 4*time.Second), done)
+	for _, a := range agents {
+		a.Silence(false)
+	}
+}
+
+// advance brings the newest build on, back, or another one: its nodes are listed before or after the news.
+func (w *world) advance(rnd *rand.Rand, _ <-chan struct{}) {
+	s, caps := w.release(), w.run.plan.Caps
+	switch {
+	case s.Phase != balance.OnTrial:
+		s = standin.Release{Build: s.Build + 1, Phase: balance.OnTrial, Cap: caps[0]}
+		for range 2 {
+			if err := w.add(s.Build); err != nil {
+				w.run.fault("a node of another build: %v", err)
+			}
+		}
+	case rnd.IntN(3) == 0:
+		s.Phase, s.Cap = balance.GoingBack, 0
+	case s.Stage+1 < len(caps):
+		s.Stage++
+		s.Cap = caps[s.Stage]
+	default:
+		s.Phase, s.Cap = balance.Released, 1
+	}
+	w.rollout(s)
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,212 @@
+// Package soak plays seeded runs of the real marshal process on the operators' platform's protocol: stand-in discovery, release API and
+// nodes, clients that use their connections until the kill, and signals in series. What passed on the sockets is audited.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"arrowcleat/internal/settings"
+	"arrowcleat/internal/standin"
+)
+
+// The protocol's own figures.
+const (
+	longestCounted = 3 * time.Second        // a longer deadline counts as this for the kill
+	killRest       = 700 * time.Millisecond // beyond it, until KILL
+	answerSlack    = 500 * time.Millisecond // after its time an answer earns nothing; later it is lost
+	strangerTime   = 3 * time.Second        // in which a client that says nothing or half is owed an error or a close
+	retireAfter    = 1500 * time.Millisecond
+	readyWithin    = 10 * time.Second
+	pauseMost      = 150 * time.Millisecond
+	firstHUP       = time.Second // a process gets none earlier
+)
+
+// Signal is one that a marshal process gets.
+type Signal struct {
+	After time.Duration // since it was ready
+	Name  string        // one of the words below
+}
+
+// Words of a Signal; Pause is STOP and, a while later, CONT. A reload is a new configuration and HUP.
+const (
+	Reload = "reload"
+	HUP    = "hup"
+	USR1   = "usr1"
+	USR2   = "usr2"
+	Pause  = "pause"
+	Term   = "term"
+)
+
+// Ways in which a life ends.
+const (
+	EndTerm       = "term"       // TERM, and KILL at the earliest that the protocol allows
+	EndTwice      = "term twice" // a second TERM soon after
+	EndKill       = "kill"       // without a word
+	EndQuiet      = "quiet"      // the load ends; what the process holds is looked at; then TERM
+	EndBeforeLoad = "not ready"  // TERM before it is ready
+)
+
+// Life is one process of a marshal.
+type Life struct {
+	Load    time.Duration // from when it is ready until its end begins
+	Signals []Signal
+	End     string
+	Second  time.Duration // between the two TERMs, or from the start to the TERM that comes before it is ready
+	NewFor  time.Duration // how long new connections come after TERM
+}
+
+// Class is one class of requests.
+type Class struct {
+	Name   string
+	Repeat settings.Repeat
+	Limit  time.Duration
+	Memory time.Duration
+	Group  string
+}
+
+// Plan is all that a run is drawn from: the same seed plays the same plan.
+type Plan struct {
+	Seed     uint64
+	Zones    []string
+	Classes  []Class
+	Marshals int
+	Peers    bool
+	Sockets  int
+	Idle     time.Duration // of connections to nodes
+	Dial     time.Duration
+	Grace    time.Duration
+	Caps     []float64
+	Free     float64
+	Window   time.Duration
+	Nodes    int
+	Clients  int // of each marshal
+	Crowd    int // connections that come at once; 0 for none
+	Asking   int // of them, those that send a request
+	Pieces   bool
+	Trouble  float64 // share of requests that a node deals with otherwise than well
+	Events   time.Duration
+	Lives    [][]Life // by marshal
+}
+
+func between(rnd *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(rnd.Float64()*float64(most-least))
+}
+
+func pick[T any](rnd *rand.Rand, of ...T) T { return of[rnd.IntN(len(of))] }
+
+// Draw makes the plan of a seed.
+func Draw(seed uint64) *Plan {
+	rnd := rand.New(rand.NewPCG(seed, 0))
+	ms := time.Millisecond
+	p := &Plan{Seed: seed, Marshals: 1 + rnd.IntN(2), Peers: rnd.IntN(2) == 0, Sockets: pick(rnd, 200, 256, 400),
+		Idle: pick(rnd, 400*ms, 1000*ms, 30000*ms), Dial: pick(rnd, 100*ms, 250*ms), Grace: pick(rnd, 300*ms, 500*ms),
+		Caps: pick(rnd, []float64{0.1, 1}, []float64{0.2, 0.5, 1}), Free: float64(rnd.IntN(4)), Window: pick(rnd, 1000*ms, 2000*ms),
+		Nodes: 4 + rnd.IntN(5), Clients: 6 + rnd.IntN(15), Pieces: rnd.IntN(2) == 0, Trouble: 0.3 * rnd.Float64(),
+		Events: between(rnd, 120*ms, 500*ms)}
+	p.Zones = pick(rnd, []string{"here"}, []string{"here", "there"}, nil)
+	p.Classes = []Class{{Name: "look", Repeat: settings.Repeat_IDEMPOTENT}}
+	if rnd.IntN(3) > 0 {
+		p.Classes = append(p.Classes, Class{Name: "book", Repeat: settings.Repeat_FINGERPRINTED, Group: pick(rnd, "zone", "all"),
+			Memory: pick(rnd, 150*ms, 600*ms, 8000*ms)})
+	}
+	if rnd.IntN(3) > 0 {
+		p.Classes = append(p.Classes, Class{Name: "once", Repeat: settings.Repeat_SIDE_EFFECTING})
+	}
+	for i := range p.Classes {
+		p.Classes[i].Limit = pick(rnd, 300*ms, 500*ms, 900*ms, 1500*ms, 6000*ms)
+	}
+	if rnd.IntN(3) == 0 {
+		p.Crowd = 100 + rnd.IntN(200)
+		p.Asking = max(0, p.Sockets/3-p.Clients-10) / 2
+	}
+	for range p.Marshals {
+		var lives []Life
+		for range 2 {
+			lives = append(lives, drawLife(rnd))
+		}
+		p.Lives = append(p.Lives, lives)
+	}
+	return p
+}
+
+func drawLife(rnd *rand.Rand) Life {
+	ms := time.Millisecond
+	l := Life{Load: between(rnd, 600*ms, 2400*ms), NewFor: between(rnd, 200*ms, 400*ms),
+		End: pick(rnd, EndTerm, EndTerm, EndTerm, EndTwice, EndKill, EndQuiet, EndBeforeLoad)}
+	switch l.End {
+	case EndTwice:
+		l.Second = between(rnd, 0, 300*ms)
+	case EndBeforeLoad:
+		l.Second = between(rnd, 0, 60*ms)
+	}
+	for at := between(rnd, 0, 600*ms); at < l.Load; at += between(rnd, 200*ms, 700*ms) {
+		l.Signals = append(l.Signals, Signal{at, pick(rnd, Pause, Pause, USR1, USR2)})
+	}
+	if l.Load > firstHUP+100*ms && rnd.IntN(3) > 0 {
+		at := between(rnd, firstHUP+50*ms, l.Load)
+		series := pick(rnd, []string{Reload}, []string{Reload, HUP}, []string{HUP, HUP}, []string{Reload, USR1, HUP, USR2}, []string{Reload, Reload})
+		for _, name := range series {
+			l.Signals = append(l.Signals, Signal{at, name})
+			at += between(rnd, 0, 3*ms)
+		}
+		if rnd.IntN(2) == 0 {
+			l.Load = at // TERM during HUP
+		}
+	}
+	return l
+}
+
+// settings are the plan's as the auditor reads them.
+func (p *Plan) settings() *settings.Settings {
+	s := &settings.Settings{Rules: &settings.Rules{AnswerSlackMs: float64(answerSlack.Milliseconds()), GraceMs: float64(p.Grace.Milliseconds())},
+		Rollout: &settings.Rollout{Allowance: p.Free, CountedOverMs: float64(p.Window.Milliseconds()), CapScope: "all"}}
+	for _, c := range p.Caps {
+		s.Rollout.Stage = append(s.Rollout.Stage, &settings.Stage{Cap: c})
+	}
+	for _, c := range p.Classes {
+		s.Operation = append(s.Operation, &settings.Operation{Name: c.Name, Repeat: c.Repeat, Group: c.Group, SloMs: float64(c.Limit.Milliseconds()),
+			LimitMs: float64(c.Limit.Milliseconds()), MemoryMs: float64(c.Memory.Milliseconds())})
+	}
+	return s
+}
+
+var repeats = map[settings.Repeat]string{settings.Repeat_IDEMPOTENT: "free", settings.Repeat_FINGERPRINTED: "guarded",
+	settings.Repeat_SIDE_EFFECTING: "single_shot"}
+
+// configuration is what a marshal process is started with.
+func (p *Plan) configuration(m *marshalRun, news standin.Release, known []standin.Host) string {
+	var classes, zones []string
+	for _, c := range p.Classes {
+		text := fmt.Sprintf(`{"name":%q,"aim-s":%g,"deadline-s":%g,"repeat":%q`, c.Name, c.Limit.Seconds()/2, c.Limit.Seconds(), repeats[c.Repeat])
+		if c.Repeat == settings.Repeat_FINGERPRINTED {
+			text += fmt.Sprintf(`,"group":%q,"window-s":%g`, c.Group, c.Memory.Seconds())
+		}
+		classes = append(classes, text+"}")
+	}
+	for _, z := range p.Zones {
+		zones = append(zones, fmt.Sprintf("%q", z))
+	}
+	caps := strings.Trim(strings.ReplaceAll(fmt.Sprint(p.Caps), " ", ","), "[]")
+	return fmt.Sprintf(`{"name":"n%d","listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1,"memory_mb":96,"sockets":%d},
+"peer_listen":%q,"peers":[%s],"peers_all":%q,"release_api":{"address":%q,"news":%s},"known":%s,
+"settings":{"balancers":%d,"me":%d,"locality":0,"zones":[%s],"discovery":"automatic",
+"limits":{"most-tries":3,"may-tell":%v,"conn-idle-s":%g,"dial-timeout-s":%g},
+"rules":{"stop-sending-within-s":%g,"warm-up-s":1.0},
+"domain":{"api-timeout-s":0.3,"api-rate":20.0,"vote-ttl-s":4.0,"most-shares":[%s],"stage-share":[%s],"counted-over-s":%g,"allowance":%g,
+"cap-scope":"all","gate-mode":"first_voice"},"request-classes":[%s]}}`,
+		m.number, m.address, m.agent.Address(), p.Seed, p.Sockets, m.datagrams, strings.Join(m.run.quoted, ","), m.run.all, m.api.Address(),
+		news.JSON(), standin.Message(1, true, known), p.Marshals, m.number, strings.Join(zones, ","), p.Peers, p.Idle.Seconds(), p.Dial.Seconds(),
+		p.Grace.Seconds(), caps, caps, p.Window.Seconds(), p.Free, strings.Join(classes, ","))
+}
+
+// killAfter is when KILL comes after TERM, at the earliest that the protocol allows.
+func (p *Plan) killAfter() time.Duration {
+	var longest time.Duration
+	for _, c := range p.Classes {
+		longest = max(longest, c.Limit)
+	}
+	return min(longest, longestCounted) + killRest
+}
--- /dev/null
+++ b/internal/standin/platformnode.go
@@ -0,0 +1,203 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"arrowcleat/internal/record"
+)
+
+// Reply is how a PlatformNode deals with one request.
+type Reply int
+
+// The replies. All but Served and TurnedAway are troubles; all but TurnedAway may have run.
+const (
+	Served     Reply = iota // 200 after a while
+	TurnedAway              // 503 with the word that nothing ran
+	Error                   // 500
+	Hung                    // nothing, until the other side gives up
+	Reset                   // the connection is reset
+	Closed                  // the connection ends without an answer
+	Cut                     // it ends in the middle of the answer
+	Spoilt                  // what comes is no HTTP
+	Twice                   // the answer, and some ms later the same again
+)
+
+// PlatformNode is a stand-in node on the operators' platform's protocol, over plain sockets: it answers as it is told to, request by
+// request, and writes down what reached it.
+type PlatformNode struct {
+	ID   uint32
+	Ver  int
+	Zone int
+	Idle time.Duration // after which a connection without a request is closed; 0 for never
+	// Reply says how a request is dealt with, and after how long.
+	Reply func() (Reply, time.Duration)
+	Seen  func(*record.Seen)
+
+	ln    net.Listener
+	wg    sync.WaitGroup
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+	dead  bool
+}
+
+// Start listens and serves.
+func (n *PlatformNode) Start(address string) error {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("node %d: %w", n.ID, err)
+	}
+	n.ln, n.conns = ln, map[net.Conn]bool{}
+	n.see(&record.Seen{Kind: "begins"})
+	n.wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if n.keep(c) {
+				n.wg.Go(func() { n.serve(c) })
+			}
+		}
+	})
+	return nil
+}
+
+// Address is where it listens.
+func (n *PlatformNode) Address() string { return n.ln.Addr().String() }
+
+// Kill ends it like a killed process: its connections are reset, new ones refused.
+func (n *PlatformNode) Kill() {
+	n.mu.Lock()
+	if !n.dead {
+		n.dead = true
+		n.see(&record.Seen{Kind: "dies"})
+	}
+	for c := range n.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	n.mu.Unlock()
+	n.ln.Close()
+	n.wg.Wait()
+}
+
+func (n *PlatformNode) keep(c net.Conn) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.dead {
+		c.Close()
+		return false
+	}
+	n.conns[c] = true
+	return true
+}
+
+func (n *PlatformNode) see(s *record.Seen) {
+	s.AtUs, s.Node, s.Ver, s.Zone = time.Now().UnixMicro(), n.ID, int64(n.Ver), int64(n.Zone)
+	n.Seen(s)
+}
+
+func (n *PlatformNode) serve(c net.Conn) {
+	defer func() {
+		c.Close()
+		n.mu.Lock()
+		delete(n.conns, c)
+		n.mu.Unlock()
+	}()
+	b := bufio.NewReader(c)
+	for {
+		if n.Idle > 0 {
+			c.SetReadDeadline(time.Now().Add(n.Idle))
+		}
+		if _, err := b.Peek(1); err != nil {
+			return
+		}
+		c.SetReadDeadline(time.Time{})
+		q, err := http.ReadRequest(b)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+			return // not whole: it never began
+		}
+		if !n.answer(c, b, q) {
+			return
+		}
+	}
+}
+
+// answer deals with one request; false ends the connection.
+func (n *PlatformNode) answer(c net.Conn, b *bufio.Reader, q *http.Request) (keep bool) {
+	id := q.Header.Get("X-Trace-Id")
+	told, _ := strconv.ParseFloat(q.Header.Get("X-Expires-In-Ms"), 64)
+	instance, _, _ := strings.Cut(id, "-")
+	from, _ := strconv.ParseInt(instance, 10, 64)
+	see := func(kind, text string) {
+		n.see(&record.Seen{Kind: kind, Inv: id, Instance: from, LimitMs: told, Text: text})
+	}
+	see("got", "")
+	reply, after := n.Reply()
+	if reply == Hung {
+		after = time.Hour
+	}
+	if !waits(c, b, after) {
+		see("cut", "given up")
+		return false
+	}
+	end := func(kind, text string) { see(kind, text); c.Close() }
+	text := "made for " + id
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	switch reply {
+	case TurnedAway:
+		see("away", "")
+		io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")
+	case Error:
+		see("done", "500")
+		io.WriteString(c, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
+	case Reset:
+		c.(*net.TCPConn).SetLinger(0)
+		end("cut", "reset")
+		return false
+	case Closed:
+		end("cut", "closed")
+		return false
+	case Cut:
+		io.WriteString(c, whole[:len(whole)-3])
+		end("cut", "in the middle")
+		return false
+	case Spoilt:
+		see("done", "spoilt")
+		io.WriteString(c, "HTTP/1.1 2x0 OK\r\nContent-Length: -4\r\n\r\nnoise")
+		waits(c, b, time.Second)
+		return false
+	case Twice:
+		see("done", "200")
+		io.WriteString(c, whole)
+		if waits(c, b, 3*time.Millisecond) {
+			io.WriteString(c, whole)
+		}
+	default:
+		see("done", "200")
+		io.WriteString(c, whole)
+	}
+	return true
+}
+
+// waits lets time pass, and says whether the other side is still there.
+func waits(c net.Conn, b *bufio.Reader, d time.Duration) bool {
+	c.SetReadDeadline(time.Now().Add(d))
+	defer c.SetReadDeadline(time.Time{})
+	if _, err := b.Peek(1); err != nil {
+		timeout, ok := err.(net.Error)
+		return ok && timeout.Timeout()
+	}
+	return true
+}
