Failing test: a second TERM while new connections still come; planted faults for the soak

Trace (seen.txt): the connection came 329 ms after the first TERM and 52 ms after the second. TestSecondTermWhileConnectionsCome shows it each time.

The soak's planted faults (twice, answered, effects, one-out, drain, exposure, budget, gone, an end that answers nothing, a start that fails, a wrong exit, a crash, a descriptor left over, strangers left alone) are each found.

--- a/cmd/arrowcleat/platform.go
+++ b/cmd/arrowcleat/platform.go
@@ -16,6 +16,7 @@
 
 	"arrowcleat/internal/loop"
 	"arrowcleat/internal/platform"
+	"arrowcleat/internal/serve"
 )
 
 func platformCommand() *cobra.Command {
@@ -37,7 +38,7 @@
 			if config == "" {
 				return badInput{errors.New("neither --config nor GW_CONFIG names a configuration")}
 			}
-			return runOnPlatform(config, level)
+			return runOnPlatform(config, level, serve.Hooks{})
 		},
 	}
 	c.Flags().StringVar(&config, "config", "", "file of the configuration; GW_CONFIG where it is left out")
@@ -45,7 +46,7 @@
 	return c
 }
 
-func runOnPlatform(path, level string) error {
+func runOnPlatform(path, level string, hooks serve.Hooks) error {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
@@ -66,7 +67,7 @@
 	}
 	stop, done := signals(&at, log)
 	defer done()
-	m, err := platform.Start(c, log)
+	m, err := platform.StartWith(c, log, hooks)
 	if err != nil {
 		return badInput{err}
 	}
--- a/cmd/arrowcleat/platform_test.go
+++ b/cmd/arrowcleat/platform_test.go
@@ -22,7 +22,10 @@
 
 // TestMain is the program itself where the environment says so.
 func TestMain(m *testing.M) {
-	if os.Getenv("ARROWCLEAT_AS_PROGRAM") != "" {
+	if fault := os.Getenv(planted); fault != "" {
+		os.Exit(runPlanted(fault))
+	}
+	if os.Getenv(asProgram) != "" {
 		main()
 		return
 	}
@@ -127,7 +130,7 @@
 		file: filepath.Join(t.TempDir(), "config.json")}
 	ln.Close()
 	p.write(configured(p.address))
-	p.Env = append(os.Environ(), "ARROWCLEAT_AS_PROGRAM=1", "GW_CONFIG="+p.file)
+	p.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+p.file)
 	p.Stderr = &p.log
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
@@ -276,6 +279,49 @@
 	}
 }
 
+// A second TERM closed the listener while new connections go on coming, for 0.4 s after the first: soak seed 6, "0-6-735 at marshal 0 had
+// no answer (broke EOF, 0 dispatches)", 329 ms after the first and 52 ms after the second. What connects in that time is answered.
+func TestSecondTermWhileConnectionsCome(t *testing.T) {
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "fine") }))
+	defer node.Close()
+	list, _ := follow(t, fmt.Sprintf(`{"seq":1,"whole":true,"hosts":[{"host":"a","dial":%q,"site":"here","health":"in_service","build":7}]}`,
+		node.Listener.Addr()))
+	api, _ := follow(t, "{}\n")
+	p := run(t, func(address string) string { return fmt.Sprintf(configuration, address, list, api) })
+	var told atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 16 {
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				if at := told.Load(); at != 0 && time.Now().UnixNano()-at > int64(400*time.Millisecond) {
+					return
+				}
+				c, err := net.Dial("tcp", p.address)
+				if err == nil {
+					c.SetDeadline(time.Now().Add(3 * time.Second))
+					fmt.Fprintf(c, "GET /look HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %d-%d\r\nX-Qos: look\r\n\r\n", i, n)
+					_, err = http.ReadResponse(bufio.NewReader(c), nil)
+					c.Close()
+				}
+				if err != nil {
+					t.Errorf("%v after the first TERM: %v", time.Duration(time.Now().UnixNano()-told.Load()), err)
+					return
+				}
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	told.Store(time.Now().UnixNano())
+	p.Process.Signal(syscall.SIGTERM)
+	time.Sleep(50 * time.Millisecond)
+	p.Process.Signal(syscall.SIGTERM)
+	wg.Wait()
+	if err := p.Wait(); err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+}
+
 // Under requests a marshal takes configurations that can be read, two in a row and none that can't, and leaves at TERM with
 // every request answered.
 func TestSignalsUnderRequests(t *testing.T) {
--- a/cmd/arrowcleat/soak.go
+++ b/cmd/arrowcleat/soak.go
@@ -41,7 +41,7 @@
 					return err
 				}
 			}
-			return soakAll(c.OutOrStdout(), soak.Options{Seed: seed, Dir: dir, Program: []string{program, "platform"}}, runs)
+			return soakAll(c.OutOrStdout(), soak.Options{Dir: dir, Program: []string{program, "platform"}}, seed, runs)
 		},
 	}
 	c.Flags().Uint64Var(&seed, "seed", 1, "the first run's")
@@ -51,16 +51,16 @@
 	return c
 }
 
-// soakAll plays runs, some at once, and prints each.
-func soakAll(out io.Writer, o soak.Options, runs int) error {
+// soakAll plays runs, some at once, and prints each, and what was checked in all.
+func soakAll(out io.Writer, o soak.Options, seed uint64, runs int) error {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	broken, requests := 0, 0
+	broken, requests, checked := 0, 0, map[string]int{}
 	room := make(chan struct{}, runsAtOnce)
 	for i := range runs {
 		one := o
-		one.Seed += uint64(i)
-		one.Dir = filepath.Join(o.Dir, fmt.Sprint(one.Seed))
+		one.Plan = soak.Draw(seed + uint64(i))
+		one.Dir = filepath.Join(o.Dir, fmt.Sprint(one.Plan.Seed))
 		room <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-room }()
@@ -69,10 +69,13 @@
 			defer mu.Unlock()
 			if err != nil {
 				broken++
-				fmt.Fprintf(out, "seed %d: %v\n", one.Seed, err)
+				fmt.Fprintf(out, "seed %d: %v\n", one.Plan.Seed, err)
 				return
 			}
 			requests += outcome.Invocations
+			for rule, n := range outcome.Checked {
+				checked[rule] += n
+			}
 			if !outcome.Clean() {
 				broken++
 			}
@@ -80,7 +83,7 @@
 		})
 	}
 	wg.Wait()
-	fmt.Fprintf(out, "%d runs, %d requests taken, %d runs with findings; logs in %s\n", runs, requests, broken, o.Dir)
+	fmt.Fprintf(out, "%d runs, %d requests taken, checked %v; %d runs with findings; logs in %s\n", runs, requests, checked, broken, o.Dir)
 	if broken > 0 {
 		return errBroken
 	}
--- /dev/null
+++ b/cmd/arrowcleat/soak_test.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"arrowcleat/internal/audit"
+	"arrowcleat/internal/front"
+	"arrowcleat/internal/plant"
+	"arrowcleat/internal/serve"
+	"arrowcleat/internal/soak"
+)
+
+// asProgram and planted say in the environment that this binary is the program, and with which fault.
+const (
+	asProgram = "ARROWCLEAT_AS_PROGRAM"
+	planted   = "ARROWCLEAT_PLANT"
+)
+
+// leak is a file that nobody closes.
+var leak *os.File
+
+// runPlanted runs the platform's marshal with a fault, and gives its exit code.
+func runPlanted(fault string) int {
+	hooks, err := plant.Hooks(fault)
+	if err != nil { // one of those below
+		hooks = serve.Hooks{}
+	}
+	var terms func(*front.Server)
+	switch fault {
+	case "budget":
+		terms = func(s *front.Server) { s.Faults.Budget = true }
+	case "gone":
+		terms = func(s *front.Server) { s.Faults.Gone = true }
+	case "strangers":
+		terms = func(s *front.Server) {
+			s.Terms.FirstMs = 0
+			s.Set.Times.HeaderMs, s.Set.Times.IdleMs = 60000, 60000
+		}
+	case "start":
+		return 1
+	case "exit":
+		defer os.Exit(3)
+	case "crash":
+		time.AfterFunc(500*time.Millisecond, func() { os.Exit(2) })
+	case "left over":
+		time.AfterFunc(1300*time.Millisecond, func() { leak, _ = os.Open(os.DevNull) })
+	case "close": // it ends at TERM without answering what is open
+		term := make(chan os.Signal, 1)
+		signal.Notify(term, syscall.SIGTERM)
+		go func() { <-term; os.Exit(0) }()
+	}
+	if terms != nil {
+		hooks.Front = terms
+	}
+	if err := runOnPlatform(os.Getenv("GW_CONFIG"), slog.LevelDebug.String(), hooks); err != nil {
+		return 1
+	}
+	return 0
+}
+
+// Seeded runs of the process under signals keep the rules. The seeds are fixed: the same plans are played each time.
+func TestSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("plays for some twenty seconds")
+	}
+	var out bytes.Buffer
+	err := soakAll(&out, soak.Options{Dir: t.TempDir(), Program: []string{os.Args[0], "platform"}, Env: []string{asProgram + "=1"}}, 1, 12)
+	t.Log(out.String())
+	if err != nil {
+		t.Error(err)
+	}
+}
+
+// Each check of the soak bites: a marshal process with a fault is found, by the check that is for it.
+func TestSoakFindsPlantedFaults(t *testing.T) {
+	ms := time.Millisecond
+	quiet := soak.Life{Load: 1500 * ms, End: soak.EndQuiet, NewFor: 300 * ms}
+	term := soak.Life{Load: 1500 * ms, End: soak.EndTerm, NewFor: 300 * ms}
+	for fault, c := range map[string]struct {
+		rule string // broken, or words of what is found otherwise
+		life soak.Life
+	}{
+		"twice": {audit.Answered, term}, audit.Answered: {audit.Answered, term}, audit.Effects: {audit.Effects, term},
+		audit.OneOut: {audit.OneOut, term}, audit.Drain: {audit.Drain, term}, audit.Exposure: {audit.Exposure, term},
+		audit.Budget: {audit.Budget, term}, audit.Gone: {audit.Gone, term}, "close": {audit.Answered, term},
+		"start": {"before it was ready", term}, "exit": {"exit status 3 after TERM", term}, "crash": {"it crashed", term},
+		"left over": {"at rest", quiet}, "strangers": {"neither an error nor a close", soak.Life{Load: 4500 * ms, End: soak.EndTerm}},
+	} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			p := soak.Draw(7)
+			p.Marshals, p.Trouble, p.Events, p.Clients, p.Idle = 1, 0.4, 100*ms, 20, 400*ms
+			p.Classes = soak.AllClasses(900 * ms)
+			p.Crowd, p.Asking, p.Half, p.Leave = 0, 0, 0, 0.1
+			switch fault {
+			case "strangers":
+				p.Crowd = 20
+			case audit.Gone:
+				p.Leave = 0.6
+			}
+			p.Lives = [][]soak.Life{{c.life}}
+			o, err := soak.Run(soak.Options{Plan: p, Dir: t.TempDir(), Program: []string{os.Args[0], "platform"},
+				Env: []string{asProgram + "=1", fmt.Sprintf("%s=%s", planted, fault)}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			found := slices.Contains(o.RulesBroken, c.rule) || strings.Contains(strings.Join(o.Faults, "; "), c.rule)
+			if o.Clean() || !found {
+				var out bytes.Buffer
+				o.Print(&out)
+				t.Error(errors.New("not found"), out.String())
+			}
+		})
+	}
+}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -463,7 +463,7 @@
 		}
 		// A client that has left may not be noticed yet: its reader has its turn after a marshal that stood still, as this
 		// worker has. It costs a look at the socket for each attempt.
-		if back.Ended(x.c.nc) {
+		if back.Ended(x.c.nc) && !x.c.s.Faults.Gone {
 			x.c.s.Pool.Put(node)
 			x.c.leave()
 			f.Canceled, f.Err = true, errClient
@@ -524,7 +524,11 @@
 		b = h1.AppendField(h1.AppendField(b, "Connection", "TE"), "TE", "trailers")
 	}
 	if name := x.c.s.names.time; name != "" {
-		b = h1.AppendField(b, name, strconv.FormatFloat(max(0, x.dueAt-x.c.s.Clock.Now()), 'f', 0, 64))
+		left := max(0, x.dueAt-x.c.s.Clock.Now())
+		if x.c.s.Faults.Budget {
+			left += 1000
+		}
+		b = h1.AppendField(b, name, strconv.FormatFloat(left, 'f', 0, 64))
 	}
 	trailers := x.body != nil && x.body.Trailers != nil
 	switch {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -73,6 +73,8 @@
 	Late   bool // the word that a node drains does not stop what is about to be written to it
 	// NoGuard leaves what the loop has lost without an answer.
 	NoGuard bool
+	Budget  bool // nodes are told of a second more than there is
+	Gone    bool // nobody looks whether a client has left
 }
 
 // Counts is what never reaches the module.
@@ -512,7 +514,7 @@
 // leave says that the client has gone.
 func (c *conn) leave() {
 	c.gone.Store(true)
-	if x := c.current.Load(); x != nil {
+	if x := c.current.Load(); x != nil && !c.s.Faults.Gone {
 		x.lapse()
 	}
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -25,39 +25,40 @@
 }
 
 // Start starts a marshal as a configuration says.
-func Start(c *Config, log *slog.Logger) (*Marshal, error) { return start(c, log, loop.Monotonic()) }
+func Start(c *Config, log *slog.Logger) (*Marshal, error) { return StartWith(c, log, serve.Hooks{}) }
 
-func start(c *Config, log *slog.Logger, clock loop.Clock) (*Marshal, error) {
-	c.now = loop.WallClock(clock)
+// StartWith starts one with a clock or with planted faults of its own; the ways of the platform are set here.
+func StartWith(c *Config, log *slog.Logger, hooks serve.Hooks) (*Marshal, error) {
+	if hooks.Clock == nil {
+		hooks.Clock = loop.Monotonic()
+	}
+	c.now = loop.WallClock(hooks.Clock)
 	known, err := c.Known(log)
 	if err != nil {
 		log.Warn("the list that was held last is of no use", "err", err)
 	}
 	m := &Marshal{}
-	hooks := serve.Hooks{
-		Clock: clock,
-		Ways: &serve.Ways{
-			Terms:     front.Terms{Read: c.asked, Health: "/healthz", MostBody: mostBody, FirstMs: firstMs, RetryAfter: c.retryAfter, Quiet: true},
-			Settings:  c.Module,
-			Known:     known,
-			FirstList: firstListMs * time.Millisecond,
-			Strict:    true,
-			Settle:    settleMs * time.Millisecond,
-			Reports:   reports,
-			Roster: func(listed func(bool, []control.Line), _ func()) serve.Roster {
-				m.roster = &Roster{endpoint: endpoint{address: c.Discovery}, Log: log, Listed: listed, read: c.reader(log)}
-				return m.roster
-			},
-			Conveyor: func(told Staged, failed func(balance.Ending)) serve.Conveyor {
-				m.conveyor = &Conveyor{endpoint: endpoint{address: c.API}, Log: log, Staged: told, Failed: failed,
-					Patience: time.Duration(c.Set.Rollout.VoteTimeoutMs * float64(time.Millisecond))}
-				if c.news.IsObject() {
-					if err := staged(c.news, false, m.conveyor.tell); err != nil {
-						log.Warn("the news in the configuration is of no use", "err", err)
-					}
+	hooks.Ways = &serve.Ways{
+		Terms:     front.Terms{Read: c.asked, Health: "/healthz", MostBody: mostBody, FirstMs: firstMs, RetryAfter: c.retryAfter, Quiet: true},
+		Settings:  c.Module,
+		Known:     known,
+		FirstList: firstListMs * time.Millisecond,
+		Strict:    true,
+		Settle:    settleMs * time.Millisecond,
+		Reports:   reports,
+		Roster: func(listed func(bool, []control.Line), _ func()) serve.Roster {
+			m.roster = &Roster{endpoint: endpoint{address: c.Discovery}, Log: log, Listed: listed, read: c.reader(log)}
+			return m.roster
+		},
+		Conveyor: func(told Staged, failed func(balance.Ending)) serve.Conveyor {
+			m.conveyor = &Conveyor{endpoint: endpoint{address: c.API}, Log: log, Staged: told, Failed: failed,
+				Patience: time.Duration(c.Set.Rollout.VoteTimeoutMs * float64(time.Millisecond))}
+			if c.news.IsObject() {
+				if err := staged(c.news, false, m.conveyor.tell); err != nil {
+					log.Warn("the news in the configuration is of no use", "err", err)
 				}
-				return m.conveyor
-			},
+			}
+			return m.conveyor
 		},
 	}
 	hooks.Ways.NodeConnections = int(c.Set.Limits.IdlePerNode)
--- a/internal/platform/soak_test.go
+++ b/internal/platform/soak_test.go
@@ -16,6 +16,7 @@
 
 	"arrowcleat/balance"
 	"arrowcleat/internal/loop"
+	"arrowcleat/internal/serve"
 )
 
 // used is what a process holds: goroutines, descriptors, and bytes of heap once the collector has run.
@@ -141,7 +142,7 @@
 		}
 	}()
 	clock := &jumpingClock{Clock: loop.Monotonic()}
-	m, err := start(c, slog.New(slog.DiscardHandler), clock)
+	m, err := StartWith(c, slog.New(slog.DiscardHandler), serve.Hooks{Clock: clock})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -28,11 +28,6 @@
 	last string // id of the request before
 }
 
-const (
-	leaveShare = 0.04 // of requests whose client leaves before its answer
-	halfShare  = 0.01 // of those that are sent by half only
-)
-
 func (c *client) run() {
 	defer c.drop()
 	for !c.life.over() {
@@ -106,18 +101,21 @@
 		return false
 	}
 	r := c.draw()
-	if c.rnd.Float64() < halfShare {
+	if c.rnd.Float64() < c.m.run.plan.Half {
 		return c.half(r)
 	}
 	for again := false; ; again = true {
+		c.life.asking.Add(1)
 		_, err := io.WriteString(c.nc, r.text)
 		asked := time.Now()
 		c.see(r, "asked", "", "", asked)
-		if err == nil && c.rnd.Float64() < leaveShare && !again {
+		if err == nil && c.rnd.Float64() < c.m.run.plan.Leave && !again {
 			c.life.wait(time.Duration(c.rnd.Float64() * 0.3 * float64(r.limit)))
 			if c.life.killed.Load() {
+				c.life.asking.Add(-1)
 				return false
 			}
+			c.life.asking.Add(-1)
 			c.see(r, "left", "", "", time.Now())
 			if t, ok := c.nc.(*net.TCPConn); ok && c.rnd.IntN(3) == 0 {
 				t.SetLinger(0)
@@ -126,6 +124,7 @@
 			return true
 		}
 		err = c.read(r, asked)
+		c.life.asking.Add(-1)
 		if err == nil {
 			return true
 		}
@@ -205,7 +204,11 @@
 
 // stranger waits for what a connection is owed that says nothing, or half.
 func (l *lifeRun) stranger(nc net.Conn, what string) {
-	defer nc.Close()
+	l.strangers.Add(1)
+	defer func() {
+		nc.Close()
+		l.strangers.Add(-1)
+	}()
 	due := time.Now().Add(strangerTime)
 	nc.SetReadDeadline(due.Add(pauseMost + seenLate))
 	b := make([]byte, 256)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -86,6 +86,8 @@
 	Crowd    int // connections that come at once; 0 for none
 	Asking   int // of them, those that send a request
 	Pieces   bool
+	Leave    float64 // share of requests whose client leaves before its answer
+	Half     float64 // of those that are sent by half only
 	Trouble  float64 // share of requests that a node deals with otherwise than well
 	Events   time.Duration
 	Lives    [][]Life // by marshal
@@ -97,6 +99,13 @@
 
 func pick[T any](rnd *rand.Rand, of ...T) T { return of[rnd.IntN(len(of))] }
 
+// AllClasses has one class of each kind, with the same limit.
+func AllClasses(limit time.Duration) []Class {
+	return []Class{{Name: "look", Repeat: settings.Repeat_IDEMPOTENT, Limit: limit},
+		{Name: "book", Repeat: settings.Repeat_FINGERPRINTED, Limit: limit, Group: "zone", Memory: limit / 4},
+		{Name: "once", Repeat: settings.Repeat_SIDE_EFFECTING, Limit: limit}}
+}
+
 // Draw makes the plan of a seed.
 func Draw(seed uint64) *Plan {
 	rnd := rand.New(rand.NewPCG(seed, 0))
@@ -104,7 +113,8 @@
 	p := &Plan{Seed: seed, Marshals: 1 + rnd.IntN(2), Peers: rnd.IntN(2) == 0, Sockets: pick(rnd, 200, 256, 400),
 		Idle: pick(rnd, 400*ms, 1000*ms, 30000*ms), Dial: pick(rnd, 100*ms, 250*ms), Grace: pick(rnd, 300*ms, 500*ms),
 		Caps: pick(rnd, []float64{0.1, 1}, []float64{0.2, 0.5, 1}), Free: float64(rnd.IntN(4)), Window: pick(rnd, 1000*ms, 2000*ms),
-		Nodes: 4 + rnd.IntN(5), Clients: 6 + rnd.IntN(15), Pieces: rnd.IntN(2) == 0, Trouble: 0.3 * rnd.Float64(),
+		Nodes: 4 + rnd.IntN(5), Clients: 6 + rnd.IntN(15), Pieces: rnd.IntN(2) == 0, Leave: 0.08 * rnd.Float64(),
+		Half: pick(rnd, 0, 0.005, 0.02), Trouble: 0.3 * rnd.Float64(),
 		Events: between(rnd, 120*ms, 500*ms)}
 	p.Zones = pick(rnd, []string{"here"}, []string{"here", "there"}, nil)
 	p.Classes = []Class{{Name: "look", Repeat: settings.Repeat_IDEMPOTENT}}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -28,7 +29,7 @@
 
 // Options are how a run is played.
 type Options struct {
-	Seed    uint64
+	Plan    *Plan
 	Program []string // the marshal's program and its arguments
 	Env     []string // beside the test's own
 	Dir     string   // for logs and configurations
@@ -88,9 +89,9 @@
 	return fmt.Sprintf("%d-%d-%d", marshal, r.plan.Seed, r.ids.Add(1))
 }
 
-// Run plays the plan of a seed and audits it.
+// Run plays a plan and audits it.
 func Run(o Options) (*Outcome, error) {
-	p := Draw(o.Seed)
+	p := o.Plan
 	r := &run{plan: p, dir: o.Dir, opts: o}
 	lag := watchLag()
 	var err error
@@ -112,7 +113,17 @@
 		m.close()
 	}
 	r.world.close()
-	return &Outcome{Report: audit.CheckWithin(p.settings(), bounds, r.seen), Seed: o.Seed, Faults: r.faults, Lag: lag()}, nil
+	outcome := &Outcome{Report: audit.CheckWithin(p.settings(), bounds, r.seen), Seed: p.Seed, Faults: r.faults, Lag: lag()}
+	return outcome, r.writeSeen()
+}
+
+// writeSeen keeps what passed on the sockets, a line each, beside the marshals' logs.
+func (r *run) writeSeen() error {
+	var b bytes.Buffer
+	for _, s := range r.seen { // the auditor has sorted them
+		fmt.Fprintf(&b, "%s %s\n", time.UnixMicro(s.AtUs).UTC().Format("15:04:05.000000"), s)
+	}
+	return os.WriteFile(filepath.Join(r.dir, "seen.txt"), b.Bytes(), 0o644)
 }
 
 // watchLag measures how long this process is held up, until the answer is called.
@@ -242,6 +253,8 @@
 	once    sync.Once
 	until   atomic.Int64 // UnixNano until which new connections come, 0 for no end
 	killed  atomic.Bool
+	// Connections that may hold up the end of the process: those that say nothing, or half, and those with a request out.
+	strangers, asking atomic.Int64
 }
 
 // start starts the process. What the agent and the configuration have counts as told from its first moment.
@@ -418,7 +431,11 @@
 			return fmt.Errorf("it ended with %w after TERM", r.err)
 		}
 	case <-time.After(time.Until(told.Add(r.m.run.plan.killAfter()))):
+		held := r.strangers.Load() + r.asking.Load()
 		r.kill()
+		if held == 0 {
+			return errors.New("it did not end by itself, though nobody had a request out")
+		}
 	}
 	return nil
 }
