A second TERM ends the marshal once no new connection comes, not before

Cause: cmd/arrowcleat/platform.go: the second signal called End, which closes the listener, while the platform's clients go on connecting for up to 0.4 s after the first.

Change: Drain takes a channel that says to hurry: the 0.6 s in which all that comes is served stay; after them what is open is terminated at once instead of in its time.

--- a/cmd/arrowcleat/platform.go
+++ b/cmd/arrowcleat/platform.go
@@ -26,8 +26,8 @@
 		Short: "Run a marshal in service on the operators' platform",
 		Long: `platform runs one marshal that speaks the platform's protocol, in the foreground, as its configuration says.
 
-TERM or INT: goes on taking what comes for a short while, then nothing new, lets what was taken end, exit 0; a second
-one ends at once. HUP reads the configuration again and takes the addresses of discovery and of the release API. USR1
+TERM or INT: goes on taking what comes for a short while, then nothing new, lets what was taken end, exit 0; after a second
+one what is open then is terminated. HUP reads the configuration again and takes the addresses of discovery and of the release API. USR1
 and USR2 make the log say more and less. Exit code 1: the decision module panicked.`,
 		Example: "  GW_CONFIG=/run/balancer/config.json arrowcleat platform",
 		Args:    noArgs,
@@ -92,11 +92,12 @@
 		case <-m.Ended():
 		case s := <-stop:
 			log.Warn("draining", "signal", s.String(), "open", m.Front.Open())
+			hurry := make(chan struct{})
 			go func() {
 				<-stop
-				m.End()
+				close(hurry)
 			}()
-			m.Drain()
+			m.Drain(hurry)
 		}
 		break
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -83,13 +83,21 @@
 	m.conveyor.Move(c.API)
 }
 
-// Drain is a planned end: for as long as new connections go on coming all is served, and after that what was taken.
-func (m *Marshal) Drain() error {
+// Drain is a planned end: for as long as new connections go on coming all is served, and after that what was taken, unless it is to
+// hurry: then what is still open is terminated. Also in a hurry it serves what comes: a listener closed earlier would lose it.
+func (m *Marshal) Drain(hurry <-chan struct{}) error {
 	m.Front.Drain()
 	select {
 	case <-time.After(drainMs * time.Millisecond):
 	case <-m.Ended():
 	}
+	go func() {
+		select {
+		case <-hurry:
+			m.End()
+		case <-m.Ended():
+		}
+	}()
 	return m.Stop()
 }
 
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -444,7 +444,7 @@
 		}
 	}
 	left := make(chan error)
-	go func() { left <- m.Drain() }()
+	go func() { left <- m.Drain(nil) }()
 	time.Sleep(200 * time.Millisecond)
 	if status, body, err := ask(t, m, "late"); status != 200 || body != "fine" || err != nil {
 		t.Errorf("while it leaves: %d %q %v", status, body, err)
