--- a/cmd/arrowcleat/serve.go
+++ b/cmd/arrowcleat/serve.go
@@ -91,7 +91,7 @@
 			case <-ended:
 			}
 		}()
-		err = m.Stop()
+		m.Stop() // End gives its error again
 		close(ended)
 	}
 	err = m.End()
--- a/internal/day/world.go
+++ b/internal/day/world.go
@@ -19,6 +19,7 @@
 	"arrowcleat/internal/control"
 	"arrowcleat/internal/plant"
 	"arrowcleat/internal/record"
+	"arrowcleat/internal/schedlag"
 	"arrowcleat/internal/serve"
 	"arrowcleat/internal/settings"
 	"arrowcleat/internal/standin"
@@ -43,6 +44,8 @@
 	Builds []string `json:"builds"`
 	Events []string `json:"events"`
 	Dir    string   `json:"dir,omitempty"`
+	// HeldUpMs is the longest that this process was held up: rules bound to times say little beyond it.
+	HeldUpMs float64 `json:"held_up_ms"`
 }
 
 // world is what a day is played with.
@@ -52,7 +55,7 @@
 	w        *record.Writer
 	ctx      context.Context
 	cancel   context.CancelFunc
-	wg       sync.WaitGroup
+	tasks    tasks
 	begun    time.Time
 	roster   *standin.Roster
 	conveyor *standin.Conveyor
@@ -86,11 +89,31 @@
 	down         bool // killed by a trouble
 }
 
-func (w *world) background(f func()) {
-	w.wg.Add(1)
-	go func() { defer w.wg.Done(); f() }()
+// tasks are what goes on in the background. Once they are waited for, none begins any more: what would begin then has nobody left to
+// wait for it (the race detector found that of the stand-in conveyor, which goes on for a moment after the end).
+type tasks struct {
+	mu    sync.Mutex
+	ended bool
+	wg    sync.WaitGroup
 }
 
+func (t *tasks) start(f func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.ended {
+		t.wg.Go(f)
+	}
+}
+
+func (t *tasks) end() {
+	t.mu.Lock()
+	t.ended = true
+	t.mu.Unlock()
+	t.wg.Wait()
+}
+
+func (w *world) background(f func()) { w.tasks.start(f) }
+
 // after does something later, unless the day is over by then.
 func (w *world) after(d time.Duration, f func()) {
 	w.background(func() {
@@ -150,8 +173,10 @@
 	if w.w, err = record.Create(filepath.Join(o.Dir, "day.seen"), 0); err != nil {
 		return nil, err
 	}
+	heldUp := schedlag.Watch()
 	err = w.play()
 	w.stop()
+	lag := heldUp()
 	if err != nil {
 		return nil, err
 	}
@@ -159,7 +184,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &Outcome{Seed: o.Seed, Report: report, Events: w.events, Dir: o.Dir}
+	out := &Outcome{Seed: o.Seed, Report: report, Events: w.events, Dir: o.Dir, HeldUpMs: float64(lag.Microseconds()) / 1000}
 	_, _, _, out.Builds = w.conveyor.State()
 	return out, nil
 }
@@ -474,7 +499,7 @@
 // stop ends everything, in the order in which nothing hangs.
 func (w *world) stop() {
 	w.cancel()
-	w.wg.Wait()
+	w.tasks.end()
 	for _, m := range w.marshals {
 		m.end()
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -21,6 +21,7 @@
 	"arrowcleat/balance"
 	"arrowcleat/internal/audit"
 	"arrowcleat/internal/record"
+	"arrowcleat/internal/schedlag"
 	"arrowcleat/internal/standin"
 )
 
@@ -40,7 +41,7 @@
 	*audit.Report
 	Seed   uint64
 	Faults []string      // what the audit does not see: starts, ends, what is left over, strangers
-	Lag    time.Duration // the longest that this process itself was held up
+	HeldUp time.Duration // the longest that this process itself was
 }
 
 // Clean says that nothing was found.
@@ -49,7 +50,7 @@
 // Print writes a line for the run, and one for each finding.
 func (o *Outcome) Print(out io.Writer) {
 	fmt.Fprintf(out, "seed %d: %d taken, %d succeeded, %d throttled, %d terminated, %d left, %d not taken; %d unanswered, broken %v, held up %v\n",
-		o.Seed, o.Invocations, o.Succeeded, o.Throttled, o.Terminated, o.Left, o.NotTaken, o.Unanswered, o.RulesBroken, o.Lag.Round(time.Millisecond))
+		o.Seed, o.Invocations, o.Succeeded, o.Throttled, o.Terminated, o.Left, o.NotTaken, o.Unanswered, o.RulesBroken, o.HeldUp.Round(time.Millisecond))
 	for _, text := range append(append([]string{}, o.Faults...), o.Examples...) {
 		fmt.Fprintln(out, "  "+text)
 	}
@@ -93,7 +94,7 @@
 func Run(o Options) (*Outcome, error) {
 	p := o.Plan
 	r := &run{plan: p, dir: o.Dir, opts: o}
-	lag := watchLag()
+	heldUp := schedlag.Watch()
 	var err error
 	if r.world, err = newWorld(r); err != nil {
 		return nil, err
@@ -113,7 +114,7 @@
 		m.close()
 	}
 	r.world.close()
-	outcome := &Outcome{Report: audit.CheckWithin(p.settings(), bounds, r.seen), Seed: p.Seed, Faults: r.faults, Lag: lag()}
+	outcome := &Outcome{Report: audit.CheckWithin(p.settings(), bounds, r.seen), Seed: p.Seed, Faults: r.faults, HeldUp: heldUp()}
 	return outcome, r.writeSeen()
 }
 
@@ -126,28 +127,6 @@
 	return os.WriteFile(filepath.Join(r.dir, "seen.txt"), b.Bytes(), 0o644)
 }
 
-// watchLag measures how long this process is held up, until the answer is called.
-func watchLag() (longest func() time.Duration) {
-	const every = 5 * time.Millisecond
-	done, most := make(chan struct{}), make(chan time.Duration)
-	go func() {
-		var longest time.Duration
-		last := time.Now()
-		for {
-			select {
-			case <-done:
-				most <- longest
-				return
-			case <-time.After(every):
-			}
-			now := time.Now()
-			longest = max(longest, now.Sub(last)-every)
-			last = now
-		}
-	}()
-	return func() time.Duration { close(done); return <-most }
-}
-
 // marshalRun is one marshal over its lives, each at the same address.
 type marshalRun struct {
 	run       *run
