--- /dev/null
+++ b/internal/soak/life.go
@@ -0,0 +1,293 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// lifeRun is one process of a marshal, and the clients of its life.
+type lifeRun struct {
+	Life
+	m       *marshalRun
+	log     string // file
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	err     error // that it exited with
+	clients sync.WaitGroup
+	ended   chan struct{} // clients ask no more
+	once    sync.Once
+	until   atomic.Int64 // UnixNano until which new connections come, 0 for no end
+	killed  atomic.Bool
+	// Connections that may hold up the end of the process: those that say nothing, or half, and those with a request out.
+	strangers, asking atomic.Int64
+}
+
+// start starts the process. What the agent and the configuration have counts as told from its first moment.
+func (m *marshalRun) start(number int, l Life) (*lifeRun, error) {
+	file := filepath.Join(m.run.dir, fmt.Sprintf("marshal-%d-life-%d.log", m.number, number))
+	log, err := os.Create(file)
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	if err := m.move(); err != nil {
+		return nil, err
+	}
+	r := &lifeRun{Life: l, m: m, log: file, exited: make(chan struct{}), ended: make(chan struct{})}
+	args := append(append([]string{}, m.run.opts.Program[1:]...), "--log", "debug")
+	r.cmd = exec.Command(m.run.opts.Program[0], args...)
+	r.cmd.Env = append(append(os.Environ(), m.run.opts.Env...), "GW_CONFIG="+m.config)
+	r.cmd.Stderr = log
+	m.see("up")
+	for _, h := range m.agent.List() {
+		m.run.see(h.Seen(m.number))
+	}
+	m.run.see(m.run.world.release().Seen(m.number))
+	if err := r.cmd.Start(); err != nil {
+		return nil, err
+	}
+	go func() { r.err = r.cmd.Wait(); close(r.exited) }()
+	return r, nil
+}
+
+// ready waits until the marshal says that it serves.
+func (r *lifeRun) ready() error {
+	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for end := time.Now().Add(readyWithin); time.Now().Before(end); r.wait(2 * time.Millisecond) {
+		q, err := c.Get("http://" + r.m.address + "/healthz")
+		if err == nil {
+			q.Body.Close()
+			if q.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-r.exited:
+			return fmt.Errorf("it ended before it was ready: %w", r.err)
+		default:
+		}
+	}
+	return fmt.Errorf("not ready within %v", readyWithin)
+}
+
+func (r *lifeRun) over() bool {
+	select {
+	case <-r.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+func (r *lifeRun) endLoad() { r.once.Do(func() { close(r.ended) }) }
+
+// wait lets time pass, or the load end.
+func (r *lifeRun) wait(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-r.ended:
+	}
+}
+
+func (r *lifeRun) mayConnect() bool {
+	until := r.until.Load()
+	return !r.over() && (until == 0 || time.Now().UnixNano() < until)
+}
+
+// play plays one life.
+func (m *marshalRun) play(number int, l Life) error {
+	r, err := m.start(number, l)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		r.endLoad()
+		r.clients.Wait()
+	}()
+	if l.End == EndBeforeLoad {
+		return r.endBeforeReady()
+	}
+	if err := r.ready(); err != nil {
+		r.kill()
+		return err
+	}
+	var rest holds
+	if l.End == EndQuiet {
+		if rest, err = r.atRest(); err != nil {
+			return err
+		}
+	}
+	ready := time.Now()
+	for range m.run.plan.Clients {
+		c := &client{m: m, life: r, rnd: rand.New(rand.NewPCG(m.rnd.Uint64(), 2))}
+		r.clients.Go(c.run)
+	}
+	if m.run.plan.Crowd > 0 && number == 0 {
+		r.crowd(m.rnd)
+	}
+	if err := r.signals(ready); err != nil {
+		return err
+	}
+	switch l.End {
+	case EndKill:
+		r.kill()
+		return nil
+	case EndQuiet:
+		r.endLoad()
+		r.clients.Wait()
+		if err := r.leftOver(rest); err != nil {
+			m.run.fault("marshal %d, life %d: %v", m.number, number, err)
+		}
+		return r.terminate()
+	}
+	return r.terminate()
+}
+
+var osSignals = map[string]syscall.Signal{HUP: syscall.SIGHUP, Reload: syscall.SIGHUP, USR1: syscall.SIGUSR1, USR2: syscall.SIGUSR2}
+
+// signals sends what the life has, until its load is over.
+func (r *lifeRun) signals(ready time.Time) error {
+	for _, s := range r.Signals {
+		time.Sleep(time.Until(ready.Add(s.After)))
+		switch s.Name {
+		case Pause:
+			r.cmd.Process.Signal(syscall.SIGSTOP)
+			time.Sleep(between(r.m.rnd, 10*time.Millisecond, pauseMost))
+			r.cmd.Process.Signal(syscall.SIGCONT)
+			continue
+		case Reload:
+			if err := r.m.move(); err != nil {
+				return err
+			}
+		}
+		r.cmd.Process.Signal(osSignals[s.Name])
+	}
+	time.Sleep(time.Until(ready.Add(r.Load)))
+	select {
+	case <-r.exited:
+		return fmt.Errorf("it crashed: %w", errors.Join(r.err, errors.New("before it was told to end")))
+	default:
+		return nil
+	}
+}
+
+// kill ends the process at once, and then the load.
+func (r *lifeRun) kill() {
+	r.killed.Store(true)
+	r.m.see("killed")
+	r.cmd.Process.Kill()
+	<-r.exited
+	r.endLoad()
+}
+
+// terminate tells the process to end. Clients use their connections until the kill, which comes as early as it may.
+func (r *lifeRun) terminate() error {
+	r.m.see("stopping")
+	told := time.Now()
+	r.until.Store(told.Add(r.NewFor).UnixNano())
+	r.cmd.Process.Signal(syscall.SIGTERM)
+	if r.End == EndTwice {
+		time.Sleep(r.Second)
+		r.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	select {
+	case <-r.exited:
+		if r.err != nil {
+			return fmt.Errorf("it ended with %w after TERM", r.err)
+		}
+	case <-time.After(time.Until(told.Add(r.m.run.plan.killAfter()))):
+		held := r.strangers.Load() + r.asking.Load()
+		r.kill()
+		if held == 0 {
+			return errors.New("it did not end by itself, though nobody had a request out")
+		}
+	}
+	return nil
+}
+
+// endBeforeReady tells a process to end that may not be ready yet. Before it can take signals, one ends it.
+func (r *lifeRun) endBeforeReady() error {
+	time.Sleep(r.Second)
+	r.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-r.exited:
+	case <-time.After(r.m.run.plan.killAfter()):
+		r.kill()
+		return errors.New("it does not end")
+	}
+	if status, ok := r.cmd.ProcessState.Sys().(syscall.WaitStatus); r.err != nil && !(ok && status.Signal() == syscall.SIGTERM) {
+		return fmt.Errorf("it ended with %w after TERM", r.err)
+	}
+	return nil
+}
+
+// holds is what a process holds.
+type holds struct{ descriptors, goroutines int }
+
+var goroutinesOf = regexp.MustCompile(`msg=view .*goroutines=(\d+)`)
+
+// holding looks what the process holds; its goroutines by what it has logged after so many views.
+func (r *lifeRun) holding(views int) (h holds, more int, err error) {
+	all, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", r.cmd.Process.Pid))
+	if err != nil {
+		return h, 0, err
+	}
+	text, err := os.ReadFile(r.log)
+	if err != nil {
+		return h, 0, err
+	}
+	said := goroutinesOf.FindAllSubmatch(text, -1)
+	h.descriptors = len(all)
+	if len(said) > views {
+		h.goroutines, err = strconv.Atoi(string(said[len(said)-1][1]))
+	}
+	return h, len(said), err
+}
+
+// viewEvery is how often a marshal logs its view.
+const viewEvery = time.Second
+
+// atRest is what the process holds before anybody has asked it.
+func (r *lifeRun) atRest() (holds, error) {
+	for end := time.Now().Add(3 * viewEvery); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if h, views, err := r.holding(0); err != nil || views > 0 {
+			return h, err
+		}
+	}
+	return holds{}, errors.New("it logs no view")
+}
+
+// leftOver looks whether the process holds more than at rest, once connections to nodes have had their time.
+func (r *lifeRun) leftOver(rest holds) error {
+	idle := r.m.run.plan.Idle
+	if idle > longestCounted { // they may stay
+		return nil
+	}
+	_, before, err := r.holding(0)
+	if err != nil {
+		return err
+	}
+	var now holds
+	for end := time.Now().Add(idle + 4*viewEvery); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		r.cmd.Process.Signal(syscall.SIGUSR1) // the log may have been told to say less
+		var views int
+		if now, views, err = r.holding(before); err != nil {
+			return err
+		}
+		if views > before && now.descriptors <= rest.descriptors && now.goroutines <= rest.goroutines {
+			return nil
+		}
+	}
+	return fmt.Errorf("it holds %+v, and held %+v at rest", now, rest)
+}
