Signals while a process ends; an exchange that was never offered finishes too

Need: HUP, USR1 or USR2 ends a process that does not take it: before its log is there, and in its last moments, where the program had given the signals back (signal.Stop). They are ignored then. The soak sends such signals after TERM too.

finish, which ends an exchange, ran only where run did: a command sent to an exchange that no core took (the marshal ends between the two) stayed for the connection's next. A dial that the memory window ends is no failure of the node's.

--- a/cmd/arrowcleat/platform.go
+++ b/cmd/arrowcleat/platform.go
@@ -49,7 +49,9 @@
 func runOnPlatform(path, level string, hooks serve.Hooks) error {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+	// Each of these ends a process that does not take it: before there is a log whose level they change, and in its last moments.
+	signal.Ignore(syscall.SIGUSR1, syscall.SIGUSR2)
+	defer signal.Ignore(syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGUSR2)
 	c, err := platform.Read(path, os.Getenv)
 	if err != nil {
 		return badInput{err}
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -89,6 +89,7 @@
 			var err error
 			if node, err = x.dial(address, writeBy); err != nil {
 				f.Err = err
+				f.Canceled = writeBy.Before(until) && !time.Now().Before(writeBy) // not for want of an answer from the node
 				return nil
 			}
 		}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -295,7 +295,6 @@
 // run carries out the module's commands until the final answer; false ends the connection.
 func (x *exchange) run() (keep bool) {
 	s := x.c.s
-	defer x.finish()
 	wait := func() time.Duration {
 		left := x.answerBy - s.Clock.Now()
 		if len(s.Loops) > 1 && x.state.Load()%states == offered {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -677,7 +677,10 @@
 	}
 	x.pool, x.local = s.Set.Place(asked.Op)
 	c.current.Store(x)
-	defer c.current.Store(nil)
+	defer func() {
+		c.current.Store(nil)
+		x.finish()
+	}()
 	if c.gone.Load() {
 		return false
 	}
--- a/internal/soak/life.go
+++ b/internal/soak/life.go
@@ -158,8 +158,22 @@
 
 // signals sends what the life has, until its load is over.
 func (r *lifeRun) signals(ready time.Time) error {
-	for _, s := range r.Signals {
-		time.Sleep(time.Until(ready.Add(s.After)))
+	if err := r.send(r.Signals, ready); err != nil {
+		return err
+	}
+	time.Sleep(time.Until(ready.Add(r.Load)))
+	select {
+	case <-r.exited:
+		return fmt.Errorf("it crashed: %w", errors.Join(r.err, errors.New("before it was told to end")))
+	default:
+		return nil
+	}
+}
+
+// send sends signals, each at its time since a moment.
+func (r *lifeRun) send(all []Signal, since time.Time) error {
+	for _, s := range all {
+		time.Sleep(time.Until(since.Add(s.After)))
 		switch s.Name {
 		case Pause:
 			r.cmd.Process.Signal(syscall.SIGSTOP)
@@ -173,13 +187,7 @@
 		}
 		r.cmd.Process.Signal(osSignals[s.Name])
 	}
-	time.Sleep(time.Until(ready.Add(r.Load)))
-	select {
-	case <-r.exited:
-		return fmt.Errorf("it crashed: %w", errors.Join(r.err, errors.New("before it was told to end")))
-	default:
-		return nil
-	}
+	return nil
 }
 
 // kill ends the process at once, and then the load.
@@ -201,6 +209,9 @@
 		time.Sleep(r.Second)
 		r.cmd.Process.Signal(syscall.SIGTERM)
 	}
+	var last sync.WaitGroup
+	defer last.Wait()
+	last.Go(func() { r.send(r.Last, told) }) // what can't be sent has nobody to get it any more
 	select {
 	case <-r.exited:
 		if r.err != nil {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -53,6 +53,7 @@
 type Life struct {
 	Load    time.Duration // from when it is ready until its end begins
 	Signals []Signal
+	Last    []Signal // that come after TERM, since then
 	End     string
 	Second  time.Duration // between the two TERMs, or from the start to the TERM that comes before it is ready
 	NewFor  time.Duration // how long new connections come after TERM
@@ -155,6 +156,9 @@
 	for at := between(rnd, 0, 600*ms); at < l.Load; at += between(rnd, 200*ms, 700*ms) {
 		l.Signals = append(l.Signals, Signal{at, pick(rnd, Pause, Pause, USR1, USR2)})
 	}
+	if rnd.IntN(2) == 0 {
+		l.Last = drawLast(rnd)
+	}
 	if l.Load > firstHUP+100*ms && rnd.IntN(3) > 0 {
 		at := between(rnd, firstHUP+50*ms, l.Load)
 		series := pick(rnd, []string{Reload}, []string{Reload, HUP}, []string{HUP, HUP}, []string{Reload, USR1, HUP, USR2}, []string{Reload, Reload})
@@ -169,6 +173,15 @@
 	return l
 }
 
+// drawLast draws signals that come while a process ends.
+func drawLast(rnd *rand.Rand) (last []Signal) {
+	for at := time.Duration(0); rnd.IntN(3) > 0; {
+		at += between(rnd, 0, 250*time.Millisecond)
+		last = append(last, Signal{at, pick(rnd, HUP, USR1, USR2, Pause)})
+	}
+	return last
+}
+
 // settings are the plan's as the auditor reads them.
 func (p *Plan) settings() *settings.Settings {
 	s := &settings.Settings{Rules: &settings.Rules{AnswerSlackMs: float64(answerSlack.Milliseconds()), GraceMs: float64(p.Grace.Milliseconds())},
