The test of leases at once stamps an exposure when it looks whether the lease holds

Cause, in the test: it says that the exposure and the look at the clock are one, but asked Void first and read the clock after it; the other goroutines move the clock on, by 30 ms where one stands still, while this one has no turn. As strict as before: the exposure still counts in every window, at a time when the lease was looked at and held.

--- a/divide/race_test.go
+++ b/divide/race_test.go
@@ -121,10 +121,10 @@
 					if rnd.IntN(40) == 0 { // it stands still with a lease in hand
 						micros.Add(30_000)
 					}
-					mu.Lock() // the exposure and the look at the clock are one
+					mu.Lock() // the exposure and the look at the clock are one: others move it on while this goroutine has no turn
+					at = now()
 					if open && !a.Void(l) && spent < l.N {
 						spent++
-						at := now()
 						exposed = append(exposed, event{at, 0})
 						in := func(e event) bool { return e.at > at-400 && (!each || e.op == 0) }
 						used, took := 0, 0
