The soak's planted faults get the events that show them

Cause: what happens is drawn as it comes, and in 1.5 s a node may not drain early enough to be sent to once its grace and the auditor's 100 ms are over.

Change: a plan names the kinds of its events; for these two faults they are those that show them, for long enough. The bounds are as they were.

--- a/cmd/arrowcleat/soak_test.go
+++ b/cmd/arrowcleat/soak_test.go
@@ -101,14 +101,21 @@
 			p := soak.Draw(7)
 			p.Marshals, p.Trouble, p.Events, p.Clients, p.Idle = 1, 0.4, 100*ms, 20, 400*ms
 			p.Classes = soak.AllClasses(900 * ms)
+			p.Lives = [][]soak.Life{{c.life}}
 			p.Crowd, p.Asking, p.Half, p.Leave = 0, 0, 0, 0.1
 			switch fault {
 			case "strangers":
 				p.Crowd = 20
 			case audit.Gone:
 				p.Leave = 0.6
+			case audit.Drain: // a node has to be there still when its grace is over
+				p.Kinds = []soak.Event{soak.Drain, soak.Grow}
+				p.Lives[0][0].Load = 3 * time.Second
+			case audit.Exposure: // a build has to be on trial for a while
+				p.Kinds, p.Events = []soak.Event{soak.Advance}, 700*ms
+				p.Caps, p.Free, p.Window = []float64{0.05, 1}, 0, time.Second
+				p.Lives[0][0].Load = 4 * time.Second
 			}
-			p.Lives = [][]soak.Life{{c.life}}
 			o, err := soak.Run(soak.Options{Plan: p, Dir: t.TempDir(), Program: []string{os.Args[0], "platform"},
 				Env: []string{asProgram + "=1", fmt.Sprintf("%s=%s", planted, fault)}})
 			if err != nil {
--- a/internal/soak/events.go
+++ b/internal/soak/events.go
@@ -9,12 +9,25 @@
 	"arrowcleat/internal/standin"
 )
 
+// Event is something that happens to nodes, lists or builds.
+type Event int
+
+// The events.
+const (
+	Drain   Event = iota // a node drains, and then goes
+	Die                  // a node is killed; the list says so late
+	Grow                 // another node is listed
+	Silence              // the agents write nothing for a while
+	Advance              // the newest build goes on, or back, or another comes
+)
+
 // playEvents has things happen to nodes, lists and builds until it is told to end.
 func (w *world) playEvents() (end func()) {
 	done := make(chan struct{})
 	var wg sync.WaitGroup
 	rnd := rand.New(rand.NewPCG(w.run.plan.Seed, 4))
-	events := []func(*rand.Rand, <-chan struct{}){w.drain, w.die, w.grow, w.silence, w.advance, w.advance}
+	events := map[Event]func(*rand.Rand, <-chan struct{}){Drain: w.drain, Die: w.die, Grow: w.grow, Silence: w.silence, Advance: w.advance}
+	kinds := w.run.plan.Kinds
 	wg.Go(func() {
 		for {
 			select {
@@ -22,7 +35,7 @@
 				return
 			case <-time.After(between(rnd, w.run.plan.Events/2, 2*w.run.plan.Events)):
 			}
-			event, seed := events[rnd.IntN(len(events))], rnd.Uint64()
+			event, seed := events[kinds[rnd.IntN(len(kinds))]], rnd.Uint64()
 			wg.Go(func() { event(rand.New(rand.NewPCG(seed, 5)), done) })
 		}
 	})
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -91,6 +91,7 @@
 	Half     float64 // of those that are sent by half only
 	Trouble  float64 // share of requests that a node deals with otherwise than well
 	Events   time.Duration
+	Kinds    []Event  // what may happen to nodes, lists and builds; those named twice twice as often
 	Lives    [][]Life // by marshal
 }
 
@@ -116,7 +117,7 @@
 		Caps: pick(rnd, []float64{0.1, 1}, []float64{0.2, 0.5, 1}), Free: float64(rnd.IntN(4)), Window: pick(rnd, 1000*ms, 2000*ms),
 		Nodes: 4 + rnd.IntN(5), Clients: 6 + rnd.IntN(15), Pieces: rnd.IntN(2) == 0, Leave: 0.08 * rnd.Float64(),
 		Half: pick(rnd, 0, 0.005, 0.02), Trouble: 0.3 * rnd.Float64(),
-		Events: between(rnd, 120*ms, 500*ms)}
+		Events: between(rnd, 120*ms, 500*ms), Kinds: []Event{Drain, Die, Grow, Silence, Advance, Advance}}
 	p.Zones = pick(rnd, []string{"here"}, []string{"here", "there"}, nil)
 	p.Classes = []Class{{Name: "look", Repeat: settings.Repeat_IDEMPOTENT}}
 	if rnd.IntN(3) > 0 {
