The soak's program under the race detector ends at once

Cause: a program built with the race detector sleeps for 1 s before it ends (GORACE atexit_sleep_ms, default 1000), past the kill. Change: the test's environment sets it to 0.

--- a/cmd/arrowcleat/soak_test.go
+++ b/cmd/arrowcleat/soak_test.go
@@ -24,6 +24,8 @@
 const (
 	asProgram = "ARROWCLEAT_AS_PROGRAM"
 	planted   = "ARROWCLEAT_PLANT"
+	// exitAtOnce keeps a program built with the race detector from sleeping for a second before it ends, as it does by default.
+	exitAtOnce = "GORACE=atexit_sleep_ms=0"
 )
 
 // leak is a file that nobody closes.
@@ -74,7 +76,7 @@
 		t.Skip("plays for some twenty seconds")
 	}
 	var out bytes.Buffer
-	err := soakAll(&out, soak.Options{Dir: t.TempDir(), Program: []string{os.Args[0], "platform"}, Env: []string{asProgram + "=1"}}, 1, 12)
+	err := soakAll(&out, soak.Options{Dir: t.TempDir(), Program: []string{os.Args[0], "platform"}, Env: []string{asProgram + "=1", exitAtOnce}}, 1, 12)
 	t.Log(out.String())
 	if err != nil {
 		t.Error(err)
@@ -117,7 +119,7 @@
 				p.Lives[0][0].Load = 4 * time.Second
 			}
 			o, err := soak.Run(soak.Options{Plan: p, Dir: t.TempDir(), Program: []string{os.Args[0], "platform"},
-				Env: []string{asProgram + "=1", fmt.Sprintf("%s=%s", planted, fault)}})
+				Env: []string{asProgram + "=1", exitAtOnce, fmt.Sprintf("%s=%s", planted, fault)}})
 			if err != nil {
 				t.Fatal(err)
 			}
