Failing tests: requests that cross the end of a connection, and nodes that hang through a stop

The soak entered every such end as crossed, which the protocol allows only for what was not read.

The soak's clients now read TCP_INFO after an end without an answer, some of them rest for about as long as a marshal drains, nodes may hang from TERM until KILL, and what was asked 0.25 s or more before a KILL after TERM must have its answer (a process may be held up for 0.15 s). The rig: each process has a loopback address of its own with ports below the kernel's range, a start checks by /proc that it is its own process that answers, logs stay where a test fails.

--- a/cmd/arrowcleat/soak_test.go
+++ b/cmd/arrowcleat/soak_test.go
@@ -70,13 +70,30 @@
 	return 0
 }
 
+// keptFolder is a temporary folder that stays where the test fails, so that its logs can be read.
+func keptFolder(t *testing.T) string {
+	t.Helper()
+	dir, err := os.MkdirTemp("", "arrowcleat-"+strings.ReplaceAll(t.Name(), "/", "-")+"-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log("logs are kept in", dir)
+		} else {
+			os.RemoveAll(dir)
+		}
+	})
+	return dir
+}
+
 // Seeded runs of the process under signals keep the rules. The seeds are fixed: the same plans are played each time.
 func TestSoak(t *testing.T) {
 	if testing.Short() {
 		t.Skip("plays for some twenty seconds")
 	}
 	var out bytes.Buffer
-	err := soakAll(&out, soak.Options{Dir: t.TempDir(), Program: []string{os.Args[0], "platform"}, Env: []string{asProgram + "=1", exitAtOnce}}, 1, 12)
+	err := soakAll(&out, soak.Options{Dir: keptFolder(t), Program: []string{os.Args[0], "platform"}, Env: []string{asProgram + "=1", exitAtOnce}}, 1, 12)
 	t.Log(out.String())
 	if err != nil {
 		t.Error(err)
@@ -118,7 +135,7 @@
 				p.Caps, p.Free, p.Window = []float64{0.05, 1}, 0, time.Second
 				p.Lives[0][0].Load = 4 * time.Second
 			}
-			o, err := soak.Run(soak.Options{Plan: p, Dir: t.TempDir(), Program: []string{os.Args[0], "platform"},
+			o, err := soak.Run(soak.Options{Plan: p, Dir: keptFolder(t), Program: []string{os.Args[0], "platform"},
 				Env: []string{asProgram + "=1", exitAtOnce, fmt.Sprintf("%s=%s", planted, fault)}})
 			if err != nil {
 				t.Fatal(err)
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -15,6 +15,7 @@
 	"arrowcleat/internal/front"
 	"arrowcleat/internal/record"
 	"arrowcleat/internal/settings"
+	"arrowcleat/internal/tcpstate"
 )
 
 // client asks one marshal on one connection after the other, as the platform's clients do.
@@ -34,11 +35,20 @@
 		if !c.ask() {
 			return
 		}
-		pause := time.Duration(c.rnd.ExpFloat64() * float64(8*time.Millisecond))
-		if c.rnd.IntN(30) == 0 {
-			pause = between(c.rnd, 100*time.Millisecond, time.Second)
-		}
-		c.life.wait(pause)
+		c.life.wait(c.pause())
+	}
+}
+
+// pause draws how long the client rests before its next request. Long ones, about as long as a marshal goes on taking new connections
+// after TERM, have requests cross the end of connections that rest.
+func (c *client) pause() time.Duration {
+	switch {
+	case c.rnd.Float64() < c.m.run.plan.Rests:
+		return between(c.rnd, 450*time.Millisecond, 750*time.Millisecond)
+	case c.rnd.IntN(30) == 0:
+		return between(c.rnd, 100*time.Millisecond, time.Second)
+	default:
+		return time.Duration(c.rnd.ExpFloat64() * float64(8*time.Millisecond))
 	}
 }
 
@@ -128,14 +138,15 @@
 		if err == nil {
 			return true
 		}
-		crossed := c.used && !again && !errors.Is(err, os.ErrDeadlineExceeded) && !c.life.killed.Load()
+		c.atKill(r, asked)
+		why := c.lost(err, again)
 		c.drop()
-		if !crossed {
+		if why != "" {
 			kind := "broke"
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				kind = "silent"
 			}
-			c.see(r, kind, "", err.Error(), time.Now())
+			c.see(r, kind, "", why, time.Now())
 			return true
 		}
 		c.see(r, "crossed", "", err.Error(), time.Now())
@@ -146,6 +157,40 @@
 	}
 }
 
+// atKill checks a request without an answer against the kill that ended its process after TERM: trouble at nodes frees no request of its
+// final answer.
+func (c *client) atKill(r request, asked time.Time) {
+	killed := c.life.killAt.Load()
+	if killed == 0 {
+		return
+	}
+	if out := time.Unix(0, killed).Sub(asked); out > answeredBefore {
+		c.m.run.fault("%s was asked %v before the kill that came after TERM, and had no answer", r.id, out.Round(time.Millisecond))
+	}
+}
+
+// resetWithin is how long a client waits for the reset that tells that its request was not read.
+const resetWithin = 700 * time.Millisecond
+
+// lost says why a request without an answer is lost; it is empty where it crossed the end of a connection that rested, and was not read:
+// then the client sends it once more.
+func (c *client) lost(err error, again bool) string {
+	if !c.used || again || errors.Is(err, os.ErrDeadlineExceeded) || c.life.killed.Load() {
+		return err.Error()
+	}
+	reset, stateErr := tcpstate.ResetWithin(c.nc, resetWithin)
+	switch {
+	case reset:
+		return ""
+	case stateErr != nil:
+		return fmt.Sprintf("%v; its state: %v", err, stateErr)
+	case c.life.killed.Load():
+		return err.Error()
+	default:
+		return fmt.Sprintf("%v; it was read, and its connection closed without an answer", err)
+	}
+}
+
 // errPart says that an answer came, but not whole.
 var errPart = errors.New("not a whole answer")
 
--- a/internal/soak/life.go
+++ b/internal/soak/life.go
@@ -29,6 +29,7 @@
 	once    sync.Once
 	until   atomic.Int64 // UnixNano until which new connections come, 0 for no end
 	killed  atomic.Bool
+	killAt  atomic.Int64 // UnixNano of a kill that comes after TERM, 0 for none
 	// Connections that may hold up the end of the process: those that say nothing, or half, and those with a request out.
 	strangers, asking atomic.Int64
 }
@@ -69,7 +70,7 @@
 		if err == nil {
 			q.Body.Close()
 			if q.StatusCode == http.StatusOK {
-				return nil
+				return r.itself()
 			}
 		}
 		select {
@@ -81,6 +82,15 @@
 	return fmt.Errorf("not ready within %v", readyWithin)
 }
 
+// itself checks that it is this process that answers.
+func (r *lifeRun) itself() error {
+	own, err := listens(r.cmd.Process.Pid, r.m.address)
+	if err == nil && !own {
+		err = errOther
+	}
+	return err
+}
+
 func (r *lifeRun) over() bool {
 	select {
 	case <-r.ended:
@@ -205,6 +215,10 @@
 	told := time.Now()
 	r.until.Store(told.Add(r.NewFor).UnixNano())
 	r.cmd.Process.Signal(syscall.SIGTERM)
+	if r.Hang {
+		r.m.run.world.hung.Add(1)
+		defer r.m.run.world.hung.Add(-1)
+	}
 	if r.End == EndTwice {
 		time.Sleep(r.Second)
 		r.cmd.Process.Signal(syscall.SIGTERM)
@@ -219,6 +233,7 @@
 		}
 	case <-time.After(time.Until(told.Add(r.m.run.plan.killAfter()))):
 		held := r.strangers.Load() + r.asking.Load()
+		r.killAt.Store(time.Now().UnixNano())
 		r.kill()
 		if held == 0 {
 			return errors.New("it did not end by itself, though nobody had a request out")
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -22,6 +22,9 @@
 	readyWithin    = 10 * time.Second
 	pauseMost      = 150 * time.Millisecond
 	firstHUP       = time.Second // a process gets none earlier
+	// answeredBefore is how long before a kill that comes after TERM all that was asked earlier has its answer: a process may be held
+	// up for pauseMost.
+	answeredBefore = pauseMost + seenLate
 )
 
 // Signal is one that a marshal process gets.
@@ -55,6 +58,7 @@
 	Signals []Signal
 	Last    []Signal // that come after TERM, since then
 	End     string
+	Hang    bool          // from TERM on nodes take what they get and never answer
 	Second  time.Duration // between the two TERMs, or from the start to the TERM that comes before it is ready
 	NewFor  time.Duration // how long new connections come after TERM
 }
@@ -89,6 +93,7 @@
 	Pieces   bool
 	Leave    float64 // share of requests whose client leaves before its answer
 	Half     float64 // of those that are sent by half only
+	Rests    float64 // of clients' pauses, those that are about as long as a marshal drains
 	Trouble  float64 // share of requests that a node deals with otherwise than well
 	Events   time.Duration
 	Kinds    []Event  // what may happen to nodes, lists and builds; those named twice twice as often
@@ -118,6 +123,7 @@
 		Nodes: 4 + rnd.IntN(5), Clients: 6 + rnd.IntN(15), Pieces: rnd.IntN(2) == 0, Leave: 0.08 * rnd.Float64(),
 		Half: pick(rnd, 0, 0.005, 0.02), Trouble: 0.3 * rnd.Float64(),
 		Events: between(rnd, 120*ms, 500*ms), Kinds: []Event{Drain, Die, Grow, Silence, Advance, Advance}}
+	p.Rests = pick(rnd, 0, 0.1, 0.5)
 	p.Zones = pick(rnd, []string{"here"}, []string{"here", "there"}, nil)
 	p.Classes = []Class{{Name: "look", Repeat: settings.Repeat_IDEMPOTENT}}
 	if rnd.IntN(3) > 0 {
@@ -160,6 +166,7 @@
 	if rnd.IntN(2) == 0 {
 		l.Last = drawLast(rnd)
 	}
+	l.Hang = rnd.IntN(3) == 0
 	if l.Load > firstHUP+100*ms && rnd.IntN(3) > 0 {
 		at := between(rnd, firstHUP+50*ms, l.Load)
 		series := pick(rnd, []string{Reload}, []string{Reload, HUP}, []string{HUP, HUP}, []string{Reload, USR1, HUP, USR2}, []string{Reload, Reload})
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -126,6 +125,7 @@
 	run       *run
 	number    int
 	rnd       *rand.Rand
+	own       *reservation
 	address   string
 	datagrams string
 	config    string // file
@@ -134,37 +134,15 @@
 	old       []interface{ Close() }
 }
 
-// freeAddress is a loopback address that nobody listens at.
-func freeAddress(network string) (string, error) {
-	if network == "udp" {
-		c, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			return "", err
-		}
-		defer c.Close()
-		return c.LocalAddr().String(), nil
-	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
-
 func (r *run) newMarshals() (all []*marshalRun, err error) {
-	if r.all, err = freeAddress("udp"); err != nil {
-		return nil, err
-	}
 	for i := range r.plan.Marshals {
 		m := &marshalRun{run: r, number: i, rnd: rand.New(rand.NewPCG(r.plan.Seed, uint64(10+i))),
 			config: filepath.Join(r.dir, fmt.Sprintf("config-%d.json", i))}
-		if m.address, err = freeAddress("tcp"); err != nil {
-			return nil, err
-		}
-		if m.datagrams, err = freeAddress("udp"); err != nil {
+		if m.own, err = reserve(); err != nil {
 			return nil, err
 		}
+		m.address, m.datagrams = m.own.at(requestPort), m.own.at(datagramPort)
+		r.all = m.own.at(guardPort) // nobody receives there
 		r.quoted = append(r.quoted, strconv.Quote(m.datagrams))
 		all = append(all, m)
 	}
@@ -194,6 +172,7 @@
 }
 
 func (m *marshalRun) close() {
+	m.own.release()
 	m.agent.Close()
 	m.api.Close()
 	for _, o := range m.old {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"arrowcleat/balance"
@@ -23,6 +24,7 @@
 	state standin.Release
 	next  int
 	dice  sync.Mutex
+	hung  atomic.Int32 // processes whose end nodes hang through
 }
 
 const firstBuild = 7
@@ -70,6 +72,9 @@
 func (w *world) reply() (standin.Reply, time.Duration) {
 	w.dice.Lock()
 	defer w.dice.Unlock()
+	if w.hung.Load() > 0 {
+		return standin.Hung, 0
+	}
 	took := time.Duration(w.rnd.ExpFloat64() * float64(6*time.Millisecond))
 	if w.rnd.Float64() >= w.run.plan.Trouble {
 		return standin.Served, took
