--- /dev/null
+++ b/internal/front/accept.go
@@ -0,0 +1,157 @@
+package front
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"arrowcleat/divide"
+	"arrowcleat/internal/back"
+	"arrowcleat/internal/connlimit"
+	"arrowcleat/internal/h1"
+)
+
+// How long accepting waits where descriptors have run out, and how often it says so. Nobody tells when one is free again, and what
+// waits in the accept queue has its time running: the longest wait is short beside any time that a client gives.
+const (
+	acceptWait     = time.Millisecond
+	acceptWaitMost = 20 * time.Millisecond
+	acceptSays     = time.Second
+)
+
+func (s *Server) listen(ln Listener) error {
+	wait := acceptWait
+	var said time.Time
+	for {
+		nc, err := ln.Accept()
+		if err != nil {
+			if s.stopping.Load() {
+				s.lastAccepts(ln)
+				return nil
+			}
+			var n net.Error
+			if errors.As(err, &n) && !errors.Is(err, net.ErrClosed) { // out of descriptors: they come back
+				if time.Since(said) > acceptSays {
+					s.Log.Warn("no connection could be accepted", "err", err)
+					said = time.Now()
+				}
+				time.Sleep(wait)
+				wait = min(2*wait, acceptWaitMost)
+				continue
+			}
+			return fmt.Errorf("accepting connections: %w", err)
+		}
+		wait = acceptWait
+		s.accept(nc, ln.Name)
+	}
+}
+
+// deadlined is a listener that can be woken without being closed.
+type deadlined interface{ SetDeadline(time.Time) error }
+
+// lastAccepts takes what the kernel has accepted already, and closes the listener once nothing has come for a moment: a
+// connection that is in its queue then is reset, with whatever request it carries.
+func (s *Server) lastAccepts(ln Listener) {
+	defer ln.Close()
+	d, ok := ln.Listener.(deadlined)
+	end := time.Now().Add(10 * lastCall)
+	for idle := 0; ok && !s.killed.Load() && idle < 2 && time.Now().Before(end); { // one that stood still may find its deadline past before it has looked
+		d.SetDeadline(time.Now().Add(lastCall))
+		if nc, err := ln.Accept(); err == nil {
+			s.accept(nc, ln.Name)
+			idle = 0
+		} else if back.Timeout(err) {
+			idle++
+		} else { // out of descriptors: what waits is still there
+			time.Sleep(acceptWait)
+		}
+	}
+}
+
+func (s *Server) accept(nc net.Conn, listener string) {
+	c := &conn{s: s, nc: nc, listener: listener, r: h1.NewReader(nc, readBuffer), requests: make(chan *request, 1),
+		resume: make(chan struct{}, 1), commands: make(chan command, 16)}
+	c.host, _, _ = splitHost(nc.RemoteAddr().String())
+	c.quietSince.Store(int64(s.Clock.Now()))
+	if s.Terms.FirstMs > 0 {
+		c.by = time.Now().Add(ms(s.Terms.FirstMs))
+	}
+	s.mu.Lock()
+	if s.killed.Load() {
+		s.mu.Unlock()
+		nc.Close()
+		return
+	}
+	full := len(s.conns)-s.evicting >= int(s.Current().Limits.Connections)
+	if full && s.Terms.FirstMs > 0 && s.evicting < mostParting {
+		full = !s.evict()
+	}
+	if !full {
+		s.conns[c] = true
+		c.home = divide.Seat(func(i int) int { return int(s.homes[i].Load()) }, len(s.Loops))
+		s.homes[c.home].Add(1)
+	}
+	if !full {
+		s.wg.Add(2)
+	}
+	s.mu.Unlock()
+	s.Counts.Connections.Add(1)
+	if full {
+		s.Counts.TurnedAway.Add(1)
+		c.turnAway()
+		return
+	}
+	go c.read()
+	go c.work()
+}
+
+// turnAway refuses a connection that there is no room for. In a flood it does so on the goroutine that accepts: else
+// hundreds would hold a descriptor each until their own goroutines have had their turn.
+func (c *conn) turnAway() {
+	s := c.s
+	part := func(linger bool) {
+		c.plain(503, NotTaken, "too many connections", true)
+		if linger {
+			c.linger()
+		}
+		back.Drain(c.nc)
+		c.nc.Close()
+	}
+	if s.parting.Add(1) > mostParting {
+		part(false)
+		s.parting.Add(-1)
+		return
+	}
+	go func() {
+		part(true)
+		s.parting.Add(-1)
+	}()
+}
+
+// evict has a connection give way to a new one; s.mu is held. It says whether one does.
+func (s *Server) evict() bool {
+	now := int64(s.Clock.Now())
+	var conns []*conn
+	var all []connlimit.Conn
+	for c := range s.conns {
+		if !c.evicted {
+			conns = append(conns, c)
+			all = append(all, connlimit.Conn{Since: float64(now - c.quietSince.Load()), Served: c.served.Load(), Busy: c.open.Load() > 0})
+		}
+	}
+	i := connlimit.Evict(all)
+	for i >= 0 && back.Unread(conns[i].nc) { // its request is here already
+		all[i].Busy = true
+		i = connlimit.Evict(all)
+	}
+	if i < 0 {
+		return false
+	}
+	c := conns[i]
+	c.evicted = true
+	s.evicting++
+	c.ended.Store(true)
+	c.nc.SetReadDeadline(time.Unix(1, 0)) // wakes the reader, which then closes
+	return true
+}
