One owner ends a client's connection: what was read is answered, what was not stays unread

A second fault of the same class: a stop now and then left a connection resting for its 120 s, so that the process did not end by itself.

Cause: nobody owned the end of a connection. Its reader, its worker, the stop, the idle time and the eviction each decided by flags of their own, at different moments. (1) conn.linger and back.Drain read and threw away what came; conn.work did so too with requests handed on after keep had become false, and it asked whether the server stops once more after the answer had been written without Connection: close. (2) Server.wake skipped a connection whose answer was written and whose request was still counted; its worker had looked at stopping just before: nobody woke the reader.

Change: front.lifecycle has the states idle, reading, taken, answering, closing and closed behind one lock. A connection closes only out of closing, which its reader reaches out of idle after a read that took nothing, or its worker with an answer that says so; all others ask for the end. Whether an answer ends the connection is decided once, before its first byte. A socket is closed without reading from it: what came unread has the kernel reset it, which is how a client can tell; with something unread the client had its last answer, since it sends one request at a time. Only the rest of a request that was rejected is still read for up to 0.3 s, so that its error arrives. No request is parsed before the one before has its answer; a request that is there when a connection could end is answered first. A panic on a connection's goroutine costs that connection, after an answer, not the process. Counted at run time and logged with the request's id, state and reason: requests read, answered, left by their client, and, as violations, given up without an answer, closed while open, second answers held back; connections closed by reason; all of it in the debug view, the last log line and /metrics. The soak fails on a logged violation.

A planted fault (discards) is found by the soak.

--- a/cmd/arrowcleat/platform.go
+++ b/cmd/arrowcleat/platform.go
@@ -108,7 +108,7 @@
 	if errors.As(err, &p) {
 		return err
 	}
-	log.Warn("marshal has ended", "refused_behind", m.Behind())
+	log.Warn("marshal has ended", "refused_behind", m.Behind(), "requests", &m.Front.Counts)
 	return err
 }
 
--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -191,19 +191,6 @@
 	return ended
 }
 
-// Drain reads what has come on a connection without waiting: closing it with something unread would reset it, and the
-// other side might lose what was written last.
-func Drain(nc net.Conn) {
-	onSocket(nc, func(fd uintptr) {
-		var b [4096]byte
-		for range 16 {
-			if n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_DONTWAIT); n <= 0 || err != nil {
-				return
-			}
-		}
-	})
-}
-
 // Close closes the connection.
 func (c *Conn) Close() error {
 	if !c.closed.Swap(true) {
--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -55,9 +55,9 @@
 func (s *Server) lastAccepts(ln Listener) {
 	defer ln.Close()
 	d, ok := ln.Listener.(deadlined)
-	end := time.Now().Add(10 * lastCall)
+	end := time.Now().Add(10 * lastLook)
 	for idle := 0; ok && !s.killed.Load() && idle < 2 && time.Now().Before(end); { // one that stood still may find its deadline past before it has looked
-		d.SetDeadline(time.Now().Add(lastCall))
+		d.SetDeadline(time.Now().Add(lastLook))
 		if nc, err := ln.Accept(); err == nil {
 			s.accept(nc, ln.Name)
 			idle = 0
@@ -70,12 +70,12 @@
 }
 
 func (s *Server) accept(nc net.Conn, listener string) {
-	c := &conn{s: s, nc: nc, listener: listener, r: h1.NewReader(nc, readBuffer), requests: make(chan *request, 1),
-		resume: make(chan struct{}, 1), commands: make(chan command, 16)}
+	now := time.Now()
+	c := &conn{s: s, nc: nc, life: newLifecycle(nc, now, s.Clock.Now()), listener: listener, r: h1.NewReader(nc, readBuffer),
+		requests: make(chan *request, 1), resume: make(chan struct{}, 1), commands: make(chan command, 16)}
 	c.host, _, _ = splitHost(nc.RemoteAddr().String())
-	c.quietSince.Store(int64(s.Clock.Now()))
 	if s.Terms.FirstMs > 0 {
-		c.by = time.Now().Add(ms(s.Terms.FirstMs))
+		c.life.firstBy = now.Add(ms(s.Terms.FirstMs))
 	}
 	s.mu.Lock()
 	if s.killed.Load() {
@@ -94,6 +94,9 @@
 	}
 	if !full {
 		s.wg.Add(2)
+		if s.stopping.Load() {
+			c.life.end(closeStop)
+		}
 	}
 	s.mu.Unlock()
 	s.Counts.Connections.Add(1)
@@ -110,13 +113,13 @@
 // hundreds would hold a descriptor each until their own goroutines have had their turn.
 func (c *conn) turnAway() {
 	s := c.s
-	part := func(linger bool) {
-		c.plain(503, NotTaken, "too many connections", true)
-		if linger {
-			c.linger()
+	c.life.state = stateTaken // the answer comes before the request, which need not be waited for
+	part := func(wait bool) {
+		c.plain(503, NotTaken, "too many connections", closeRejected)
+		if wait {
+			c.discardRest()
 		}
-		back.Drain(c.nc)
-		c.nc.Close()
+		c.end(closeRejected)
 	}
 	if s.parting.Add(1) > mostParting {
 		part(false)
@@ -131,17 +134,18 @@
 
 // evict has a connection give way to a new one; s.mu is held. It says whether one does.
 func (s *Server) evict() bool {
-	now := int64(s.Clock.Now())
+	now := s.Clock.Now()
 	var conns []*conn
 	var all []connlimit.Conn
 	for c := range s.conns {
 		if !c.evicted {
+			idle, served, since := c.life.rest()
 			conns = append(conns, c)
-			all = append(all, connlimit.Conn{Since: float64(now - c.quietSince.Load()), Served: c.served.Load(), Busy: c.open.Load() > 0})
+			all = append(all, connlimit.Conn{Since: now - since, Served: served, Busy: !idle})
 		}
 	}
 	i := connlimit.Evict(all)
-	for i >= 0 && back.Unread(conns[i].nc) { // its request is here already
+	for i >= 0 && (back.Unread(conns[i].nc) || !conns[i].life.evict()) { // its request is here already
 		all[i].Busy = true
 		i = connlimit.Evict(all)
 	}
@@ -151,7 +155,5 @@
 	c := conns[i]
 	c.evicted = true
 	s.evicting++
-	c.ended.Store(true)
-	c.nc.SetReadDeadline(time.Unix(1, 0)) // wakes the reader, which then closes
 	return true
 }
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -61,7 +61,11 @@
 	took := s.Clock.Now() - start
 	x.loop().Post(func() { x.core().Ended(x.id, no, balance.Succeeded, took, true, report) })
 	x.putBack(node, h)
-	c.out = x.answerHead(c.out[:0], h, body, len(held))
+	ends, owed := c.beginAnswer(x.mustEnd())
+	if !owed {
+		return true, false, report
+	}
+	c.out = x.answerHead(c.out[:0], h, body, len(held), ends)
 	if x.head.Method != "HEAD" {
 		if body.Trailers != nil && x.head.Minor > 0 {
 			if len(held) > 0 {
@@ -76,7 +80,7 @@
 		c.out = append(c.out, c.out...)
 	}
 	c.release()
-	return true, c.write() == nil && !x.ends(), report
+	return true, c.write() == nil && ends == keepOpen, report
 }
 
 func (x *exchange) putBack(node *back.Conn, h *h1.Head) {
@@ -117,8 +121,8 @@
 }
 
 // answerHead writes the head of a node's answer as the client gets it. held is the length of its body, or one of
-// h1's lengths.
-func (x *exchange) answerHead(b []byte, h *h1.Head, body *h1.Body, held int) []byte {
+// h1's lengths; ends is for what the connection ends with it.
+func (x *exchange) answerHead(b []byte, h *h1.Head, body *h1.Body, held int, ends closeReason) []byte {
 	length := h.Header["Content-Length"]
 	h.DropHops()
 	b = h1.AppendHeader(x.statusLine(b, h), h.Header, "Content-Length", Final)
@@ -134,7 +138,7 @@
 	case x.head.Minor > 0:
 		b = h1.AppendField(b, "Transfer-Encoding", "chunked")
 	}
-	if x.ends() {
+	if ends != keepOpen {
 		b = h1.AppendField(b, "Connection", "close")
 	} else if x.head.Minor == 0 {
 		b = h1.AppendField(b, "Connection", "keep-alive")
@@ -158,7 +162,12 @@
 	}
 	chunked := length < 0 && x.head.Minor > 0
 	x.last = x.last || length < 0 && !chunked
-	c.out = x.answerHead(c.out[:0], h, body, length)
+	ends, owed := c.beginAnswer(x.mustEnd())
+	if !owed {
+		node.Close()
+		return false
+	}
+	c.out = x.answerHead(c.out[:0], h, body, length, ends)
 	var err error
 	room, piece := make([]byte, 32<<10), held
 	for {
@@ -192,7 +201,7 @@
 	how := balance.Succeeded
 	if err != nil && err != io.EOF {
 		how = back.Fate{Dialed: true, Wrote: 1, Err: err}.Ending()
-		x.last = true // cut short: only the end of the connection can tell
+		ends = closeWrite // cut short: only the end of the connection can tell
 	}
 	took := s.Clock.Now() - start
 	x.loop().Post(func() { x.core().Ended(x.id, no, how, took, true, report) })
@@ -201,5 +210,5 @@
 	} else {
 		node.Close()
 	}
-	return err == io.EOF && !x.ends() && !c.gone.Load()
+	return err == io.EOF && ends == keepOpen && !c.gone.Load()
 }
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -1,9 +1,12 @@
 package front
 
 import (
+	"context"
+	"fmt"
 	"io"
+	"log/slog"
 	"net"
-	"sync"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -11,36 +14,29 @@
 	"arrowcleat/internal/h1"
 )
 
-// conn is one client's connection. One goroutine reads heads, and finds out when the client goes; the other one
-// works on one invocation after the other. The reader stands still while the worker reads a body.
+// conn is one client's connection. One goroutine reads heads, and finds out when the client goes; the other one works on one request
+// after the other. The reader stands still while the worker reads a body, and reads no request before the one before has its answer.
 type conn struct {
 	s        *Server
 	nc       net.Conn
+	life     *lifecycle
 	listener string // that it came to
 	host     string // the client's
 	guard    *time.Timer
 	home     int // the core that takes what nothing binds to another
 	r        *h1.Reader
-	waking   sync.Mutex
-	waiting  bool // the reader waits for the first byte of a request; with called, under waking
-	called   bool // it does so for the last time, since the marshal stops
 	requests chan *request
 	resume   chan struct{}
 	commands chan command
-	open     atomic.Int32 // requests read and not answered
 	gone     atomic.Bool
-	ended    atomic.Bool // the worker takes no further request
-	noBody   bool        // the request being worked on is a HEAD
-	id       string      // of the request that is open, until its answer begins
-	by       time.Time   // when the first request must be whole; zero once it is, or for no bound
-	evicted  bool        // it gives way to another; s.mu
-	served   atomic.Bool // it had an answer
-	// quietSince is when it was opened or had its last answer, in ms of the clock.
-	quietSince atomic.Int64
-	current    atomic.Pointer[exchange]
-	out        []byte // room for what is written to the client
-	held       []byte // and for an answer that is held
-	body       []byte // and for a request's body
+	noBody   bool   // the request being worked on is a HEAD
+	id       string // of the request that is open, until its answer begins
+	lastID   string // of the request that was read last, for the log
+	evicted  bool   // it gives way to another; s.mu
+	current  atomic.Pointer[exchange]
+	out      []byte // room for what is written to the client
+	held     []byte // and for an answer that is held
+	body     []byte // and for a request's body
 }
 
 type request struct {
@@ -52,100 +48,63 @@
 func (c *conn) read() {
 	defer c.s.wg.Done()
 	defer close(c.requests)
-	t := c.s.Current().Times
 	for {
-		c.await(t.IdleMs)
-		if c.ended.Load() {
+		began, ok := c.awaitRequest()
+		if !ok {
 			return
 		}
-		if _, err := c.r.Peek(1); err != nil {
-			if back.Timeout(err) && !c.ended.Load() && (c.open.Load() > 0 || c.s.stopping.Load() && !c.called) {
-				continue // it waits for its answer, or is asked a last time
-			}
-			if !back.Timeout(err) {
-				c.leave()
-			}
+		c.readBy(c.s.Current().Times.HeaderMs)
+		h, err := c.r.Request(c.s.limits)
+		if !c.life.taken() {
 			return
 		}
-		c.begin()
-		began := c.s.Clock.Now()
-		c.readBy(t.HeaderMs)
-		h, err := c.r.Request(c.s.limits)
-		c.open.Add(1)
 		if err != nil {
 			c.requests <- &request{fault: err}
 			return
 		}
-		last, body := h.Close, h.Length != 0
+		body := h.Length != 0
 		if !body {
-			c.by = time.Time{}
+			c.life.whole()
 		}
 		c.requests <- &request{head: h, began: began}
 		if body {
 			if _, ok := <-c.resume; !ok {
 				return
 			}
-			c.by = time.Time{}
+			c.life.whole()
 		}
-		if last { // nothing more is read, but that the client goes
-			c.nc.SetReadDeadline(time.Time{})
-			if _, err := c.r.Peek(1); err != nil && c.open.Load() > 0 && !back.Timeout(err) {
-				c.leave()
-			}
-			return
+	}
+}
+
+// awaitRequest waits until the first byte of a request has been read and the request before has its answer. It gives the clock's time at
+// which that byte was read: the client's time runs from then. False says that the connection ends.
+func (c *conn) awaitRequest() (began float64, ok bool) {
+	for c.life.await(time.Now(), ms(c.s.Current().Times.IdleMs)) {
+		_, err := c.r.Peek(1)
+		if err == nil {
+			began = c.s.Clock.Now()
+			return began, c.life.begin()
+		}
+		if !back.Timeout(err) {
+			c.leave()
+			break
 		}
 	}
+	return 0, false
 }
 
-// readBy bounds the next read, for a first request by what is left until it must be whole. That bound ends with the
-// request's last byte: kept until the answer, it would be long past for a client that waits, and the reader, which waits
-// for that client to go, would take its core for itself.
+// readBy bounds the next read, for a first request by what is left until it must be whole. A server that ends waits for nothing more.
 func (c *conn) readBy(within float64) {
 	at := time.Now().Add(ms(within))
-	if !c.by.IsZero() && c.by.Before(at) {
-		at = c.by
+	if by := c.life.firstDue(); !by.IsZero() && by.Before(at) {
+		at = by
 	}
 	c.nc.SetReadDeadline(at)
-}
-
-// await is before the reader waits for the first byte of a request: where the marshal stops, for the last time.
-func (c *conn) await(idleMs float64) {
-	c.waking.Lock()
-	defer c.waking.Unlock()
-	c.waiting = true
-	c.readBy(idleMs)
-	if c.s.stopping.Load() && c.open.Load() == 0 {
-		c.called = true
-		c.nc.SetReadDeadline(time.Now().Add(c.lastCall()))
+	if c.s.aborted.Load() {
+		c.nc.SetReadDeadline(past)
 	}
 }
 
-// begin is when that byte has come.
-func (c *conn) begin() {
-	c.waking.Lock()
-	defer c.waking.Unlock()
-	c.waiting = false
-}
-
-// wake has a reader that waits for a request look once more, and then close. One that has begun to read a request goes on: what
-// is half read when the marshal stops is taken like the rest.
-func (c *conn) wake() {
-	c.waking.Lock()
-	defer c.waking.Unlock()
-	if c.waiting && !c.called && c.open.Load() == 0 {
-		c.nc.SetReadDeadline(time.Unix(1, 0))
-	}
-}
-
-// lastCall is how long what may be on its way when the marshal stops is waited for. A request that the kernel has is read and
-// answered; one that crosses the close after that is not, and its client sends it again.
-func (c *conn) lastCall() time.Duration {
-	if c.served.Load() {
-		return lastCall
-	}
-	return firstCall
-}
-
 // leave says that the client has gone.
 func (c *conn) leave() {
 	c.gone.Store(true)
@@ -156,45 +115,118 @@
 
 func (c *conn) work() {
 	defer c.s.wg.Done()
-	keep := true
 	for req := range c.requests {
-		if keep {
-			keep = c.serve(req) && !c.gone.Load() && !c.s.stopping.Load()
-			c.served.Store(true)
-			c.quietSince.Store(int64(c.s.Clock.Now()))
-			c.open.Add(-1)
-			if !keep {
-				c.ended.Store(true)
-				close(c.resume)
-				c.linger()
-			}
+		if ends := c.process(req); ends != keepOpen {
+			break
+		}
+	}
+	c.finish()
+}
+
+// process works on one request, and says for what the connection ends with it. A request that is owed an answer gets one here if nothing
+// else has given it any.
+func (c *conn) process(req *request) (ends closeReason) {
+	c.s.Counts.Read.Add(1)
+	keep := c.serveSafely(req)
+	if c.life.owed() && !c.gone.Load() {
+		c.s.Counts.Unanswered.Add(1)
+		c.s.Log.Error("a request was given up without an answer", "request", c.lastID, "state", stateTaken.String())
+		c.plain(502, Terminated, "terminated: what it did is not known", closeRejected)
+		keep = false
+	}
+	switch {
+	case c.life.owed():
+		c.s.Counts.Left.Add(1)
+		ends = closeGone
+	case !keep:
+		c.s.Counts.Answered.Add(1)
+		if ends = c.life.reasonNow(); ends == keepOpen {
+			ends = closeWrite
 		}
+	default:
+		c.s.Counts.Answered.Add(1)
+	}
+	c.life.answered(ends, time.Now(), c.s.Clock.Now(), ms(c.s.Current().Times.IdleMs))
+	return ends
+}
+
+// beginAnswer is called before the first byte of a final answer. must is for what the connection has to end with it. The result is for what
+// it does, which the answer's head has to say; ok is false where no answer is owed, and nothing may be written.
+func (c *conn) beginAnswer(must closeReason) (ends closeReason, ok bool) {
+	may, more := keepOpen, false
+	if s := c.s; s.draining.Load() || s.stopping.Load() {
+		may, more = closeStop, !s.aborted.Load() && back.Unread(c.nc)
 	}
-	if keep && c.s.stopping.Load() {
-		c.linger() // a request that crosses the close must not reset it
+	ends, was := c.life.answering(must, may, more)
+	if was == stateAnswering {
+		c.s.Counts.SecondAnswers.Add(1)
+		c.s.Log.Error("a second answer was held back", "request", c.lastID)
+	}
+	return ends, was == stateTaken
+}
+
+// serveSafely is serve; a panic costs the connection, not the process and all that it owes to others.
+func (c *conn) serveSafely(req *request) (keep bool) {
+	defer func() {
+		if p := recover(); p != nil {
+			keep = false
+			c.s.Log.Error("a connection's goroutine panicked", "request", c.lastID, "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+		}
+	}()
+	return c.serve(req)
+}
+
+// finish closes the connection once its lifecycle allows it. The reader, if it still waits, ends with it.
+func (c *conn) finish() {
+	if c.life.reasonNow() == closeRejected || c.s.Faults.Discards {
+		c.discardRest()
+	}
+	c.end(closeGone)
+	close(c.resume)
+	for range c.requests { // the reader hands on nothing more, and closes this as it ends
+		c.s.Counts.Unanswered.Add(1)
+		c.s.Log.Error("a request was read and is not answered", "request", c.lastID)
+	}
+	c.s.remove(c)
+}
+
+// end closes the socket without reading from it: what has come unread stays so, and the kernel tells the client.
+func (c *conn) end(why closeReason) {
+	was, reason := c.life.close(why)
+	if was == stateClosed {
+		return
 	}
-	back.Drain(c.nc)
 	c.nc.Close()
-	c.s.mu.Lock()
-	delete(c.s.conns, c)
-	if c.evicted {
-		c.s.evicting--
+	c.s.Counts.Closed[reason].Add(1)
+	if why == closeForced && (was == stateTaken || was == stateAnswering) && !c.gone.Load() {
+		c.s.Counts.Unanswered.Add(1)
+		c.s.Log.Error("a request was open when its connection was closed", "request", c.openID(), "state", was.String(), "reason", reason.String(), "client", c.nc.RemoteAddr().String())
+	}
+	if c.s.Log.Enabled(context.Background(), slog.LevelDebug) {
+		c.s.Log.Debug("connection closed", "client", c.nc.RemoteAddr().String(), "state", was.String(), "reason", reason.String())
 	}
-	c.s.homes[c.home].Add(-1)
-	c.s.mu.Unlock()
 }
 
-// linger lets the client read the last answer before the connection is gone: closing with something unread
-// would reset it.
-func (c *conn) linger() {
-	if t, ok := c.nc.(*net.TCPConn); ok && !c.gone.Load() {
+// openID is the id of the request that is worked on, empty where it has none.
+func (c *conn) openID() string {
+	if x := c.current.Load(); x != nil {
+		return x.requestID
+	}
+	return ""
+}
+
+// discardRest lets the client read why its request was rejected before the connection is gone: it may still be sending the rest of that
+// request, and closing with something unread would reset it.
+func (c *conn) discardRest() {
+	if t, ok := c.nc.(halfCloser); ok && !c.gone.Load() {
 		t.CloseWrite()
 		c.nc.SetReadDeadline(time.Now().Add(lingerFor))
-		io.CopyN(io.Discard, c.nc, 1<<18)
+		io.CopyN(io.Discard, c.nc, lingerBytes)
 	}
-	c.nc.Close()
 }
 
+type halfCloser interface{ CloseWrite() error }
+
 // interrupt ends what the worker waits for at a node.
 func (c *conn) interrupt() {
 	if x := c.current.Load(); x != nil {
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -18,17 +18,18 @@
 // exchange is one invocation from its head to its answer. The loop calls the methods of marshal.Exchange; the
 // connection's worker runs all else.
 type exchange struct {
-	c        *conn
-	id       string       // given on the loop
-	at       atomic.Int32 // the core that it was offered to last
-	taker    atomic.Int32 // the one that took it, counted from 1
-	lapsed   atomic.Bool  // the client has gone
-	head     *h1.Head
-	began    float64
-	limit    float64
-	dueAt    float64
-	answerBy float64 // when the connection answers by itself
-	last     bool    // the connection ends with it
+	c         *conn
+	id        string       // given on the loop
+	requestID string       // the client's
+	at        atomic.Int32 // the core that it was offered to last
+	taker     atomic.Int32 // the one that took it, counted from 1
+	lapsed    atomic.Bool  // the client has gone
+	head      *h1.Head
+	began     float64
+	limit     float64
+	dueAt     float64
+	answerBy  float64 // when the connection answers by itself
+	last      bool    // the connection ends with it
 
 	// What the module is told of it, and what binds it to a core: a key, a mark or nothing.
 	pool, local, tenant int
@@ -335,11 +336,9 @@
 				return keep
 			}
 		case doThrottle:
-			err := x.c.plain(503, Throttled, "throttled: trying again is harmless", x.ends(), s.retryAfter(cmd.retryAfter)...)
-			return err == nil && !x.ends()
+			return x.c.plain(503, Throttled, "throttled: trying again is harmless", x.mustEnd(), s.retryAfter(cmd.retryAfter)...)
 		case doTerminate:
-			err := x.c.plain(x.terminated(), Terminated, "terminated: what it did is not known", x.ends())
-			return err == nil && !x.ends()
+			return x.c.plain(x.terminated(), Terminated, "terminated: what it did is not known", x.mustEnd())
 		case doLet:
 			return false
 		}
@@ -350,18 +349,25 @@
 // loop has not taken yet was never taken; the rest is terminated, which promises nothing.
 func (x *exchange) overdue() (answered, keep bool) {
 	if state := x.state.Load(); state%states == offered && x.state.CompareAndSwap(state, state+withdrawn) {
-		return true, x.c.refuse(503, "this marshal stands still", x.ends(), "Retry-After", "1")
+		return true, x.c.refuse(503, "this marshal stands still", x.mustEnd(), "Retry-After", "1")
 	}
 	if x.claimed.Swap(true) {
 		return false, false // its answer is on the way
 	}
 	x.loop().Post(func() { x.core().Overtaken(x.id) })
-	return true, x.c.plain(x.terminated(), Terminated, "terminated: what it did is not known", x.ends()) == nil && !x.ends()
+	return true, x.c.plain(x.terminated(), Terminated, "terminated: what it did is not known", x.mustEnd())
 }
 
-// ends says that the connection can't go on after this answer: the client asked so, or part of the body is unread.
-func (x *exchange) ends() bool {
-	return x.last || x.body != nil && !x.body.Done() || x.c.s.stopping.Load() || x.c.s.draining.Load()
+// mustEnd is for what the connection can't go on after the answer: part of the request's body is unread, or the client asked so.
+func (x *exchange) mustEnd() closeReason {
+	switch {
+	case x.body != nil && !x.body.Done():
+		return closeRejected
+	case x.last:
+		return closeAsked
+	default:
+		return keepOpen
+	}
 }
 
 func splitHost(address string) (host, port string, ok bool) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/textproto"
@@ -54,6 +55,7 @@
 	open      atomic.Int64 // invocations between their head and their answer
 	stopping  atomic.Bool
 	killed    atomic.Bool // nothing is accepted any more, not even what the kernel has
+	aborted   atomic.Bool // nothing more is waited for
 	via       string
 	limits    h1.Limits
 	names     names
@@ -70,11 +72,41 @@
 	NoGuard bool
 	Budget  bool // nodes are told of a second more than there is
 	Gone    bool // nobody looks whether a client has left
+	// Discards reads and throws away what comes on a connection that closes.
+	Discards bool
 }
 
-// Counts is what never reaches the module.
+// Counts is what never reaches the module. Once nothing is open, Read is Answered and Left together.
 type Counts struct {
 	Connections, TurnedAway, Malformed atomic.Int64
+
+	Read     atomic.Int64 // requests read, also those that could not be used
+	Answered atomic.Int64 // of them, those whose final answer was begun
+	Left     atomic.Int64 // and those whose client had gone before it
+	Closed   [closeReasons]atomic.Int64
+
+	// Violations of what must hold: each is also logged.
+	Unanswered    atomic.Int64 // requests read whose connection was closed without an answer, or would have been
+	SecondAnswers atomic.Int64 // answers held back where none was owed
+}
+
+// LogValue is the counts as one group of a log line.
+func (c *Counts) LogValue() slog.Value {
+	return slog.GroupValue(slog.Int64("connections", c.Connections.Load()), slog.Int64("turned_away", c.TurnedAway.Load()),
+		slog.Int64("malformed", c.Malformed.Load()), slog.Int64("read", c.Read.Load()), slog.Int64("answered", c.Answered.Load()),
+		slog.Int64("left", c.Left.Load()), slog.Int64("unanswered", c.Unanswered.Load()),
+		slog.Int64("second_answers", c.SecondAnswers.Load()), slog.String("closed", fmt.Sprint(c.ClosedBy())))
+}
+
+// ClosedBy gives how many connections were closed for each reason.
+func (c *Counts) ClosedBy() map[string]int64 {
+	all := map[string]int64{}
+	for reason := range closeReasons {
+		if n := c.Closed[reason].Load(); n > 0 {
+			all[reason.String()] = n
+		}
+	}
+	return all
 }
 
 // names are the headers that settings name, in canonical form.
@@ -154,7 +186,7 @@
 		}
 	}
 	for c := range s.conns {
-		c.wake()
+		c.life.end(closeStop)
 	}
 }
 
@@ -178,20 +210,22 @@
 	s.killed.Store(true)
 	s.mu.Lock()
 	for c := range s.conns {
-		c.nc.Close()
+		c.end(closeForced)
 		c.interrupt()
 	}
 	s.mu.Unlock()
 	<-done
 }
 
-// Abort gives every invocation that waits its answer, terminated; for when the loop has ended.
+// Abort gives every invocation that waits its answer, terminated, and every request that is half read its error.
 func (s *Server) Abort() {
 	s.Stop()
+	s.aborted.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		c.interrupt()
+		c.nc.SetReadDeadline(past)
 	}
 }
 
@@ -206,8 +240,19 @@
 		if t, ok := c.nc.(*net.TCPConn); ok {
 			t.SetLinger(0)
 		}
-		c.nc.Close()
+		c.end(closeGone)
+	}
+}
+
+// remove forgets a connection that is closed.
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	if c.evicted {
+		s.evicting--
 	}
+	s.homes[c.home].Add(-1)
 }
 
 // Open is the number of invocations between their head and their answer.
@@ -215,11 +260,9 @@
 
 const (
 	readBuffer = 4096
-	lingerFor  = 300 * time.Millisecond // for a client to read why its connection ends
-	// lastCall is how long a marshal that stops looks once more for what was on its way when it stopped; for a connection that
-	// has never asked, firstCall.
-	lastCall  = 5 * time.Millisecond
-	firstCall = 300 * time.Millisecond
+	// For a client to read why its request was rejected: how long and how much more of it is read.
+	lingerFor   = 300 * time.Millisecond
+	lingerBytes = 1 << 18
 	// mostParting are the connections turned away that may linger, and those that give way at once: in a flood they
 	// would use up the descriptors.
 	mostParting = 8
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -123,6 +123,5 @@
 	slices.Sort(nodes)
 	m.Log.Debug("view", "taken", r.Taken, "succeeded", r.Succeeded, "throttled", r.Throttled, "terminated", r.Terminated,
 		"lapsed", r.Lapsed, "open", r.Open, "dispatches", r.Dispatches, "endings", fmt.Sprint(r.Endings), "ver", r.Ver, "stage", r.Stage,
-		"cap", r.Cap, "connections", m.Front.Counts.Connections.Load(), "turned_away", m.Front.Counts.TurnedAway.Load(),
-		"malformed", m.Front.Counts.Malformed.Load(), "refused_behind", m.Behind(), "goroutines", runtime.NumGoroutine(), "nodes", strings.Join(nodes, " "))
+		"cap", r.Cap, "requests", &m.Front.Counts, "refused_behind", m.Behind(), "goroutines", runtime.NumGoroutine(), "nodes", strings.Join(nodes, " "))
 }
--- a/internal/serve/meter.go
+++ b/internal/serve/meter.go
@@ -27,6 +27,10 @@
 	descConns = desc("arrowcleat_core_connections", "Clients' connections that belong to the core.", perCore, nil)
 	descMoved = desc("arrowcleat_moved_total", "Invocations taken by another core than their connection's.", nil, nil)
 	descOpen  = desc("arrowcleat_open", "Invocations between their head and their answer.", nil, nil)
+	descRead  = desc("arrowcleat_requests_read_total", "Requests read from clients.", nil, nil)
+	descDone  = desc("arrowcleat_requests_done_total", "Requests read and over, by their outcome; unanswered must stay 0.", []string{"outcome"}, nil)
+	descTwice = desc("arrowcleat_second_answers_total", "Answers held back since none was owed; must stay 0.", nil, nil)
+	descEnds  = desc("arrowcleat_connections_closed_total", "Clients' connections closed, by the reason.", []string{"reason"}, nil)
 	descChair = desc("arrowcleat_chair", "The core whose instance votes for the marshal.", []string{"pool"}, nil)
 	descTaken = desc("arrowcleat_window_taken", "Invocations in the window that the exposure rule counts.", perScope, nil)
 	descExp   = desc("arrowcleat_window_exposed", "Exposures in the window, leases that are out among them.", perScope, nil)
@@ -52,6 +56,15 @@
 	}
 	put(descMoved, count, float64(c.m.Front.Moved()))
 	put(descOpen, level, float64(c.m.Front.Open()))
+	counts := &c.m.Front.Counts
+	put(descRead, count, float64(counts.Read.Load()))
+	for outcome, n := range map[string]int64{"answered": counts.Answered.Load(), "left": counts.Left.Load(), "unanswered": counts.Unanswered.Load()} {
+		put(descDone, count, float64(n), outcome)
+	}
+	put(descTwice, count, float64(counts.SecondAnswers.Load()))
+	for reason, n := range counts.ClosedBy() {
+		put(descEnds, count, float64(n), reason)
+	}
 	for _, g := range c.m.groups {
 		if g.account == nil {
 			continue
--- a/internal/soak/life.go
+++ b/internal/soak/life.go
@@ -124,6 +124,7 @@
 	defer func() {
 		r.endLoad()
 		r.clients.Wait()
+		r.ownWord()
 	}()
 	if l.End == EndBeforeLoad {
 		return r.endBeforeReady()
@@ -261,6 +262,25 @@
 // holds is what a process holds.
 type holds struct{ descriptors, goroutines int }
 
+// violations are the lines in which a process says that it broke an invariant, or that a goroutine of its panicked.
+var violations = regexp.MustCompile(`(?m)^.*level=ERROR msg="(a |the decision).*$`)
+
+// ownWord looks for them in the log of a process that has ended.
+func (r *lifeRun) ownWord() {
+	text, err := os.ReadFile(r.log)
+	if err != nil {
+		r.m.run.fault("the log: %v", err)
+	}
+	for i, line := range violations.FindAll(text, -1) {
+		if i == mostViolations {
+			break
+		}
+		r.m.run.fault("marshal %d said %s", r.m.number, line)
+	}
+}
+
+const mostViolations = 5 // that are printed of one process
+
 var goroutinesOf = regexp.MustCompile(`msg=view .*goroutines=(\d+)`)
 
 // holding looks what the process holds; its goroutines by what it has logged after so many views.
