A stopping marshal answers what is open before KILL can come

Cause: the stop waited for the longest limit and 0.7 s from 0.6 s after TERM, so past KILL, which comes the longest limit, counted as 3 s at most, and 0.7 s after TERM. End waited for the loops before it answered anybody, and for requests that are half sent.

Change: what is open 0.25 s before KILL can come is terminated (a process may be held up for 0.15 s between); clients are answered before the loops are waited for, and once more after; a request that is half read gets its error.

--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -31,6 +31,8 @@
 	drainMs      = 600.0    // after TERM, in which new connections go on coming
 	callMs       = 1000.0   // to connect to a node, or for a vote, where settings bound it by nothing
 	restMs       = 700.0    // beyond the longest limit, until KILL comes
+	longestMs    = 3000.0   // a longer limit counts as this for KILL
+	lastMs       = 250.0    // before KILL in which all is answered: a marshal may be held up for 150 ms of it
 )
 
 // Config is what the platform tells a marshal.
@@ -52,6 +54,15 @@
 	names  *names
 }
 
+// killMs is for how long after TERM there is no KILL.
+func (c *Config) killMs() float64 {
+	longest := 0.0
+	for _, o := range c.Set.Operation {
+		longest = max(longest, o.LimitMs)
+	}
+	return min(longest, longestMs) + restMs
+}
+
 // variables say in the environment what fields of the configuration say.
 var variables = map[string]string{"name": "GW_NAME", "listen": "GW_LISTEN", "discovery": "GW_DISCOVERY"}
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -22,6 +22,7 @@
 	*serve.Marshal
 	roster   *Roster
 	conveyor *Conveyor
+	stopMs   float64 // after the word to stop until what is open is terminated
 }
 
 // Start starts a marshal as a configuration says.
@@ -37,7 +38,7 @@
 	if err != nil {
 		log.Warn("the list that was held last is of no use", "err", err)
 	}
-	m := &Marshal{}
+	m := &Marshal{stopMs: c.killMs() - lastMs}
 	hooks.Ways = &serve.Ways{
 		Terms:     front.Terms{Read: c.asked, Health: "/healthz", MostBody: mostBody, FirstMs: firstMs, RetryAfter: c.retryAfter, Quiet: true},
 		Settings:  c.Module,
@@ -84,8 +85,10 @@
 }
 
 // Drain is a planned end: for as long as new connections go on coming all is served, and after that what was taken, unless it is to
-// hurry: then what is still open is terminated. Also in a hurry it serves what comes: a listener closed earlier would lose it.
+// hurry: then what is still open is terminated. So it is before KILL can come: nobody else answers it then. Also in a hurry it serves what
+// comes: a listener closed earlier would lose it.
 func (m *Marshal) Drain(hurry <-chan struct{}) error {
+	killed := time.After(time.Duration(m.stopMs * float64(time.Millisecond)))
 	m.Front.Drain()
 	select {
 	case <-time.After(drainMs * time.Millisecond):
@@ -94,9 +97,10 @@
 	go func() {
 		select {
 		case <-hurry:
-			m.End()
+		case <-killed:
 		case <-m.Ended():
 		}
+		m.End()
 	}()
 	return m.Stop()
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -318,6 +318,12 @@
 
 func run(t *testing.T, s *surroundings) (*Marshal, *Config) {
 	c := config(t, "127.0.0.1:0", at(s.discovery), "127.0.0.1:0", at(s.api))
+	return runWith(t, s, c), c
+}
+
+// runWith starts a marshal and waits until it knows the nodes.
+func runWith(t *testing.T, s *surroundings, c *Config) *Marshal {
+	t.Helper()
 	m, err := Start(c, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
@@ -325,11 +331,11 @@
 	t.Cleanup(func() { m.End() })
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if r, _ := m.Look(); len(r.Nodes) == len(s.nodes) {
-			return m, c
+			return m
 		}
 	}
 	t.Fatal("the list did not arrive")
-	return nil, nil
+	return nil
 }
 
 func ask(t *testing.T, m *Marshal, id string) (status int, body string, err error) {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -699,10 +699,11 @@
 	return m.End()
 }
 
-// End ends at once; what is open is terminated. Clients are answered and left whatever the loops do.
+// End ends at once; what is open is terminated. Clients are answered and left whatever the loops do: before the loops are waited for, and
+// once more after, for what the loops were just taking.
 func (m *Marshal) End() error {
 	m.once.Do(func() {
-		m.Front.Stop()
+		m.Front.Abort()
 		blocked := !m.stopLoops()
 		m.Front.Abort()
 		m.Front.Close(2 * time.Second)
