A broken connection that shows as ETIMEDOUT or EHOSTUNREACH is no passed deadline

Cause: net.Error says Timeout for syscall.ETIMEDOUT, so a client's or node's broken connection was taken for a slow one: a written request ended as timed out instead of reset, a kept connection that took no byte was not replaced, Gone knew neither. A peek that returned EINTR counted as an end.

Change: Timeout leaves ETIMEDOUT out; Gone names what tcp(7) and ip(7) name; peek tries again after EINTR.

EINTR has no test: nothing here can inject it.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -5,10 +5,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/textproto"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -26,10 +24,12 @@
 	Now    func() time.Time // nil: the machine's clock
 	Limits h1.Limits
 	Dial   time.Duration // the longest a connection may take to open
-	Idle   time.Duration // how long one is kept unused
-	Most   int           // unused ones kept for a node
-	Settle time.Duration // how long one rests after its answer: what comes unasked behind it must not be the next one's
-	All    int           // connections to all nodes together, beyond which an unused one gives way; 0: no bound
+	// Connect opens a connection; nil: the machine's own.
+	Connect func(ctx context.Context, network, address string) (net.Conn, error)
+	Idle    time.Duration // how long one is kept unused
+	Most    int           // unused ones kept for a node
+	Settle  time.Duration // how long one rests after its answer: what comes unasked behind it must not be the next one's
+	All     int           // connections to all nodes together, beyond which an unused one gives way; 0: no bound
 
 	Strict bool              // an answer is 200, all else is a failure
 	Names  map[string]string // of what nodes report, as the module knows them; nil: ORCA's own
@@ -135,14 +135,13 @@
 		p.dropOldest()
 	}
 	p.total.Add(1) // it holds a descriptor from here on
-	d := net.Dialer{Timeout: p.Dial, KeepAlive: -1}
-	nc, err := d.DialContext(ctx, "tcp", address)
+	nc, err := p.dial(ctx, address)
 	if err != nil {
 		p.total.Add(-1)
 		return nil, err
 	}
 	c := &Conn{Conn: nc, address: address, pool: p, R: h1.NewReader(nc, readBuffer)}
-	if t, ok := nc.(*net.TCPConn); ok {
+	if t, ok := nc.(syscall.Conn); ok {
 		c.raw, _ = t.SyscallConn()
 	}
 	c.peek = func(fd uintptr) bool {
@@ -152,43 +151,35 @@
 	return c, nil
 }
 
-// peek looks for a byte on a socket, without waiting and without taking it.
-func peek(fd uintptr) (int, error) {
-	var b [1]byte
-	n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return n, err
-}
-
-// waits says that nothing has come on a socket, not even its end.
-func waits(fd uintptr) bool {
-	_, err := peek(fd)
-	return err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-}
+// How long connecting waits where this machine lacks what it takes: it begins with the first and doubles up to the most.
+const (
+	scarceWait     = time.Millisecond
+	scarceWaitMost = 20 * time.Millisecond
+)
 
-// onSocket does something with a connection's descriptor, if it has one.
-func onSocket(nc net.Conn, f func(fd uintptr)) {
-	t, ok := nc.(*net.TCPConn)
-	if !ok {
-		return
+// dial opens a connection within the pool's time and the context's. What this machine lacks for a moment is waited for: nothing has been
+// sent, and the node has no part in it.
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	if p.Dial > 0 {
+		var done context.CancelFunc
+		ctx, done = context.WithTimeout(ctx, p.Dial)
+		defer done()
 	}
-	if raw, err := t.SyscallConn(); err == nil {
-		raw.Control(f) // it fails on a closed connection, which has nothing more to tell
+	connect := p.Connect
+	if connect == nil {
+		connect = (&net.Dialer{KeepAlive: -1}).DialContext
+	}
+	for wait := scarceWait; ; wait = min(2*wait, scarceWaitMost) {
+		nc, err := connect(ctx, "tcp", address)
+		if err == nil || !Scarce(err) {
+			return nc, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(wait):
+		}
 	}
-}
-
-// Unread says that something has come on a connection that nobody has read yet.
-func Unread(nc net.Conn) (unread bool) {
-	onSocket(nc, func(fd uintptr) { unread = !waits(fd) })
-	return unread
-}
-
-// Ended says that the other side has ended its sending, and that all it sent has been read.
-func Ended(nc net.Conn) (ended bool) {
-	onSocket(nc, func(fd uintptr) {
-		n, err := peek(fd)
-		ended = n == 0 && err == nil
-	})
-	return ended
 }
 
 // Close closes the connection.
@@ -378,18 +369,6 @@
 	return how == balance.Full || how == balance.NoConnect || how == balance.Ignored
 }
 
-// Timeout says that a connection's deadline passed.
-func Timeout(err error) bool {
-	var n net.Error
-	return errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &n) && n.Timeout()
-}
-
-// Gone says that the other side closed or broke the connection.
-func Gone(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) ||
-		errors.Is(err, syscall.EPIPE) || errors.Is(err, net.ErrClosed)
-}
-
 // The names of ORCA's text header, endpoint-load-metrics (the xDS ORCA proposal's TEXT form), as the module
 // knows them; the others are skipped.
 var orca = map[string]string{"cpu_utilization": "busy", "rps_fractional": "rate", "eps": "errors",
--- a/internal/back/back_test.go
+++ b/internal/back/back_test.go
@@ -238,3 +238,23 @@
 		t.Errorf("%d connections stay open, %d lists stay", n, lists)
 	}
 }
+
+// A connection that the kernel calls broken by ETIMEDOUT or EHOSTUNREACH is none whose time is up: net.Error says so of the first.
+func TestBrokenIsNoTimeout(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ECONNRESET} {
+		err := error(&net.OpError{Op: "read", Err: os.NewSyscallError("read", errno)})
+		if Timeout(err) || !Gone(err) {
+			t.Errorf("%v: timeout %v, gone %v", err, Timeout(err), Gone(err))
+		}
+		if how := (Fate{Dialed: true, Wrote: 10, Err: err}).Ending(); how != balance.Reset {
+			t.Errorf("%v after the request was written: %v", err, how)
+		}
+	}
+	ctx, done := context.WithDeadline(context.Background(), time.Unix(1, 0))
+	defer done()
+	for _, err := range []error{os.ErrDeadlineExceeded, ctx.Err()} {
+		if !Timeout(err) {
+			t.Errorf("%v is no time-out", err)
+		}
+	}
+}
