What a machine lacks for a moment costs no request: accept at a stop, connect, start

Cause: (1) the last look at the accept queue went on for 50 ms, whatever accept returned: a queue that could not be read then was closed, its requests reset. (2) EADDRNOTAVAIL, ENOBUFS, EMFILE, ENFILE or ENETUNREACH at connect counted against the node; a request used up its three dispatches within a millisecond and was throttled. (3) The same at listen ended the process.

Listen and Connect can be handed in by hooks.

--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -50,21 +50,30 @@
 // deadlined is a listener that can be woken without being closed.
 type deadlined interface{ SetDeadline(time.Time) error }
 
-// lastAccepts takes what the kernel has accepted already, and closes the listener once nothing has come for a moment: a
-// connection that is in its queue then is reset, with whatever request it carries.
+// lastAcceptsFor is how long connections that go on coming are taken after the word to stop.
+const lastAcceptsFor = 10 * lastLook
+
+// lastAccepts takes what the kernel has accepted already, and closes the listener once nothing has come for a moment: a connection that is in
+// its queue then is reset, with whatever request it carries. An accept that fails says nothing of the queue: it is tried again until the
+// server has to end.
 func (s *Server) lastAccepts(ln Listener) {
 	defer ln.Close()
 	d, ok := ln.Listener.(deadlined)
-	end := time.Now().Add(10 * lastLook)
-	for idle := 0; ok && !s.killed.Load() && idle < 2 && time.Now().Before(end); { // one that stood still may find its deadline past before it has looked
+	end := time.Now().Add(lastAcceptsFor)
+	for idle := 0; ok && !s.aborted.Load() && !s.killed.Load() && idle < 2 && time.Now().Before(end); { // one that stood still may find its deadline past before it has looked
 		d.SetDeadline(time.Now().Add(lastLook))
-		if nc, err := ln.Accept(); err == nil {
+		nc, err := ln.Accept()
+		switch {
+		case err == nil:
 			s.accept(nc, ln.Name)
 			idle = 0
-		} else if back.Timeout(err) {
+		case back.Timeout(err):
 			idle++
-		} else { // out of descriptors: what waits is still there
+		case errors.Is(err, net.ErrClosed):
+			return
+		default:
 			time.Sleep(acceptWait)
+			idle, end = 0, time.Now().Add(lastAcceptsFor)
 		}
 	}
 }
--- /dev/null
+++ b/internal/serve/scarce_test.go
@@ -0,0 +1,131 @@
+package serve
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"arrowcleat/internal/settings"
+)
+
+// scarceNetwork is the machine's, whose calls fail while it lacks something.
+type scarceNetwork struct {
+	fails atomic.Int64 // the errno, 0 for none
+	tried atomic.Int64 // calls that failed
+}
+
+func (n *scarceNetwork) err(call string) error {
+	errno := n.fails.Load()
+	if errno == 0 {
+		return nil
+	}
+	n.tried.Add(1)
+	return &net.OpError{Op: call, Net: "tcp", Err: os.NewSyscallError(call, syscall.Errno(errno))}
+}
+
+func (n *scarceNetwork) set(errno syscall.Errno) { n.fails.Store(int64(errno)) }
+
+func (n *scarceNetwork) listen(network, address string) (net.Listener, error) {
+	if err := n.err("socket"); err != nil {
+		return nil, err
+	}
+	ln, err := net.Listen(network, address)
+	return &scarceListener{ln.(*net.TCPListener), n}, err
+}
+
+func (n *scarceNetwork) connect(ctx context.Context, network, address string) (net.Conn, error) {
+	if err := n.err("connect"); err != nil {
+		return nil, err
+	}
+	return (&net.Dialer{}).DialContext(ctx, network, address)
+}
+
+type scarceListener struct {
+	*net.TCPListener
+	n *scarceNetwork
+}
+
+func (l *scarceListener) Accept() (net.Conn, error) {
+	if err := l.n.err("accept4"); err != nil {
+		return nil, err
+	}
+	return l.TCPListener.Accept()
+}
+
+// Accepting fails at the moment of the stop, for longer than the last look at the queue used to take: the listener was closed over a
+// queue with a request in it, which was reset.
+func TestAcceptFailsWhileItStops(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ENFILE, syscall.EMFILE, syscall.ENOBUFS, syscall.ECONNABORTED} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			n := &scarceNetwork{}
+			r := start(t, 1, ok, nil, rigHooks{Hooks: Hooks{Listen: n.listen}})
+			first := r.client() // accepting waits for another by then
+			first.send(get, "look")
+			first.expect("200")
+			n.set(errno)
+			waking := r.client() // it is accepted: the accept that waits had begun before
+			waking.send(get, "look")
+			waking.expect("200")
+			queued := r.client()
+			queued.send(get, "look-queued")
+			stopped := make(chan error, 1)
+			go func() { stopped <- r.m.Stop() }()
+			time.Sleep(200 * time.Millisecond)
+			n.set(0)
+			queued.expect("200 succeeded /look-queued")
+			if err := <-stopped; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// Connecting to nodes fails for a moment for a reason of the machine's own. The node was blamed for each try, and the request used up its
+// tries within a millisecond and was terminated.
+func TestConnectFailsForAMoment(t *testing.T) {
+	const moment = 60 * time.Millisecond
+	for _, errno := range []syscall.Errno{syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENOBUFS, syscall.EMFILE} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			n := &scarceNetwork{}
+			r := start(t, 2, ok, nil, rigHooks{Hooks: Hooks{Connect: n.connect}})
+			n.set(errno)
+			c := r.client()
+			c.send("POST /once HTTP/1.1\nHost: x\nContent-Length: 2\n\nab")
+			time.Sleep(moment)
+			n.set(0)
+			c.expect("200 succeeded /once")
+			if l, _ := r.m.Look(); l.Dispatches != 1 || r.got() != 1 {
+				t.Errorf("%d dispatches, %d requests reached nodes; endings %v", l.Dispatches, r.got(), l.Endings)
+			}
+		})
+	}
+}
+
+// A start during which the machine lacks what a socket takes waits for it; one that can't have its address says so at once.
+func TestStartWhileSocketsAreScarce(t *testing.T) {
+	n := &scarceNetwork{}
+	n.set(syscall.ENOBUFS)
+	go func() {
+		for n.tried.Load() < 3 {
+			time.Sleep(time.Millisecond)
+		}
+		n.set(0)
+	}()
+	r := start(t, 1, ok, nil, rigHooks{Hooks: Hooks{Listen: n.listen}})
+	c := r.client()
+	c.send(get, "look")
+	c.expect("200")
+	set, err := settings.Parse("taken", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	set.Listen.Invocations = r.m.Address()
+	begun := time.Now()
+	if _, err := Start(set, r.m.Log, Hooks{}); err == nil || time.Since(begun) > time.Second {
+		t.Errorf("an address that is taken: %v after %v", err, time.Since(begun))
+	}
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -97,6 +97,9 @@
 	Module func(h balance.Host, set balance.Settings, seed uint64) divide.Module
 	Front  func(*front.Server)
 	Ways   *Ways
+	// Listen and Connect open sockets; nil: the machine's own.
+	Listen  func(network, address string) (net.Listener, error)
+	Connect func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Ways are those of another protocol, in place of the project's own lines to roster, conveyor and peers. A nil
@@ -184,18 +187,25 @@
 		}
 		m.groups = append(m.groups, g)
 	}
-	if err := m.open(); err != nil {
+	if hooks.Listen == nil {
+		hooks.Listen = net.Listen
+	}
+	if err := m.open(hooks.Listen); err != nil {
 		return nil, err
 	}
+	m.pool.Connect = hooks.Connect
 	if w := hooks.Ways; w != nil {
 		m.pool.Strict, m.pool.Names, m.pool.All, m.pool.Settle = w.Strict, w.Reports, w.NodeConnections, w.Settle
 		if w.Peers != nil {
-			p, err := w.Peers(m.told)
+			err := whileScarce(func() (err error) {
+				m.peers, err = w.Peers(m.told)
+				return err
+			})
 			if err != nil {
+				m.peers = nil // not a nil of another type
 				m.closeSockets()
 				return nil, err
 			}
-			m.peers = p
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -271,15 +281,37 @@
 	go func() { defer m.wg.Done(); f() }()
 }
 
+// How long a start goes on trying where the machine lacks what a socket takes, and how long it waits in between.
+const (
+	scarceFor   = 5 * time.Second
+	scarceEvery = 10 * time.Millisecond
+)
+
+// whileScarce opens something, and tries again while the machine lacks what it takes for a moment.
+func whileScarce(open func() error) error {
+	for end := time.Now().Add(scarceFor); ; time.Sleep(scarceEvery) {
+		if err := open(); err == nil || !back.Scarce(err) || time.Now().After(end) {
+			return err
+		}
+	}
+}
+
 // open opens the sockets and files; what was opened is closed if one can't be.
-func (m *Marshal) open() (err error) {
+func (m *Marshal) open(listenOn func(network, address string) (net.Listener, error)) (err error) {
+	listen := func(address string) (ln net.Listener, err error) {
+		err = whileScarce(func() error {
+			ln, err = listenOn("tcp", address)
+			return err
+		})
+		return ln, err
+	}
 	defer func() {
 		if err != nil {
 			m.closeSockets()
 		}
 	}()
 	for _, l := range append([]*settings.Listener{{Name: settings.MainListener, Address: m.Set.Listen.Invocations}}, m.Set.Listener...) {
-		ln, err := net.Listen("tcp", l.Address)
+		ln, err := listen(l.Address)
 		if err != nil {
 			return fmt.Errorf("listener %s: %w", l.Name, err)
 		}
@@ -290,8 +322,8 @@
 		if err != nil {
 			return fmt.Errorf("listen.peers: %w", err)
 		}
-		conn, err := net.ListenUDP("udp", address)
-		if err != nil {
+		var conn *net.UDPConn
+		if err := whileScarce(func() error { conn, err = net.ListenUDP("udp", address); return err }); err != nil {
 			return fmt.Errorf("listen.peers: %w", err)
 		}
 		peers := &control.Peers{Number: int(m.Set.Instance.Number), Conn: conn, To: map[int]*net.UDPAddr{}, Told: m.told,
@@ -304,7 +336,7 @@
 		}
 	}
 	if m.Set.Listen.Metrics != "" {
-		if m.meter, err = net.Listen("tcp", m.Set.Listen.Metrics); err != nil {
+		if m.meter, err = listen(m.Set.Listen.Metrics); err != nil {
 			return fmt.Errorf("listen.metrics: %w", err)
 		}
 	}
