A configuration is taken while the marshal drains, and once its file can be read again

Callers would see: after HUP discovery and the release API leave the old addresses after 1.5 s; a marshal that drains, or that could not read the file in that moment, hears nothing more of drains and builds.

Cause: TERM ended the loop that reads HUP; a failed read of the file was logged and forgotten.

Change: signals are followed until the marshal has ended; where the system can't read a file that is there, it is read again every 20 ms until it can, or until the next HUP. A file that is missing or not a configuration is refused as before, with one line.

--- a/cmd/arrowcleat/platform.go
+++ b/cmd/arrowcleat/platform.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io/fs"
 	"log/slog"
 	"math"
 	"os"
@@ -73,43 +74,90 @@
 	if err != nil {
 		return badInput{err}
 	}
-	views := time.NewTicker(time.Second)
+	r := &platformRun{m: m, path: path, log: log, level: &at}
+	r.follow(hup, stop)
+	err = m.End()
+	var p *loop.Panic
+	if errors.As(err, &p) {
+		return err
+	}
+	log.Warn("marshal has ended", "refused_behind", m.Behind(), "requests", &m.Front.Counts)
+	return err
+}
+
+// platformRun is a marshal in service, and what its signals do to it.
+type platformRun struct {
+	m     *platform.Marshal
+	path  string // of the configuration
+	log   *slog.Logger
+	level *slog.LevelVar
+	again <-chan time.Time // when a configuration that could not be read for a moment is read again; nil: not
+}
+
+const (
+	viewEvery = time.Second
+	// rereadEvery is between two tries to read a configuration where the system can't for a moment: the addresses that it names are
+	// due, whatever the cause.
+	rereadEvery = 20 * time.Millisecond
+)
+
+// follow does what signals ask for until the marshal has ended. Also while it drains it takes configurations: the addresses before close.
+func (r *platformRun) follow(hup, stop <-chan os.Signal) {
+	views := time.NewTicker(viewEvery)
 	defer views.Stop()
+	ended, drained := r.m.Ended(), make(chan struct{})
+	var hurry chan struct{}
 	for {
 		select {
 		case <-views.C:
-			if at.Level() <= slog.LevelDebug {
-				m.Say()
+			if r.level.Level() <= slog.LevelDebug {
+				r.m.Say()
 			}
-			continue
 		case <-hup:
-			next, err := platform.Read(path, os.Getenv)
-			if err != nil {
-				log.Error("configuration not taken", "err", err)
-				continue
-			}
-			m.Move(next)
-			log.Warn("configuration taken", "discovery", next.Discovery, "release_api", next.API)
-			continue
-		case <-m.Ended():
+			r.reload(true)
+		case <-r.again:
+			r.reload(false)
 		case s := <-stop:
-			log.Warn("draining", "signal", s.String(), "open", m.Front.Open())
-			hurry := make(chan struct{})
-			go func() {
-				<-stop
+			if hurry != nil { // the second one
 				close(hurry)
-			}()
-			m.Drain(hurry)
+				stop = nil
+				continue
+			}
+			r.log.Warn("draining", "signal", s.String(), "open", r.m.Front.Open())
+			ended, hurry = nil, make(chan struct{})
+			go func(hurry <-chan struct{}) {
+				r.m.Drain(hurry) // End gives its error again
+				close(drained)
+			}(hurry)
+		case <-ended:
+			return
+		case <-drained:
+			return
 		}
-		break
 	}
-	err = m.End()
-	var p *loop.Panic
-	if errors.As(err, &p) {
-		return err
+}
+
+// reload takes the addresses of the configuration as it is now. first is for the try that the signal asked for: only that one complains.
+func (r *platformRun) reload(first bool) {
+	r.again = nil
+	next, err := platform.Read(r.path, os.Getenv)
+	switch {
+	case err == nil:
+		r.m.Move(next)
+		r.log.Warn("configuration taken", "discovery", next.Discovery, "release_api", next.API)
+		return
+	case first:
+		r.log.Error("configuration not taken", "err", err)
 	}
-	log.Warn("marshal has ended", "refused_behind", m.Behind(), "requests", &m.Front.Counts)
-	return err
+	if unreadable(err) {
+		r.again = time.After(rereadEvery)
+	}
+}
+
+// unreadable says that the system could not read the file, which is there.
+func unreadable(err error) bool {
+	var path *fs.PathError
+	return errors.As(err, &path) && !errors.Is(err, fs.ErrNotExist)
 }
 
 // memoryPart is the part of the memory limit under which the collector keeps the heap.
--- a/cmd/arrowcleat/platform_test.go
+++ b/cmd/arrowcleat/platform_test.go
@@ -382,3 +382,48 @@
 		t.Errorf("%d configurations were not taken; want 4:\n%s", n, p.log.String())
 	}
 }
+
+// HUP comes while the marshal drains: discovery moves, and the marshal went on with the address before, which closes. HUP comes while the
+// file can't be read: the configuration was forgotten.
+func TestReloadInBadMoments(t *testing.T) {
+	hangs := make(chan struct{})
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { <-hangs }))
+	defer node.Close()
+	defer close(hangs)
+	hosts := fmt.Sprintf(`{"seq":1,"whole":true,"hosts":[{"host":"a","dial":%q,"site":"here","health":"in_service","build":7}]}`, node.Listener.Addr())
+	var lists [3]string
+	var asked [3]*atomic.Int64
+	for i := range lists {
+		lists[i], asked[i] = follow(t, hosts)
+	}
+	api, _ := follow(t, "{}\n")
+	p := run(t, func(address string) string { return fmt.Sprintf(configuration, address, lists[0], api) })
+	if err := errors.Join(os.Remove(p.file), os.Mkdir(p.file, 0o755)); err != nil { // a folder can be opened and not be read: EISDIR
+		t.Fatal(err)
+	}
+	p.Process.Signal(syscall.SIGHUP)
+	p.until("it says so", func() bool { return strings.Contains(p.log.String(), "configuration not taken") })
+	next := p.file + ".next"
+	if err := errors.Join(os.WriteFile(next, []byte(fmt.Sprintf(configuration, p.address, lists[1], api)), 0o644), os.Remove(p.file),
+		os.Rename(next, p.file)); err != nil {
+		t.Fatal(err)
+	}
+	p.until("the configuration is taken once it can be read", func() bool { return asked[1].Load() > 0 })
+	c, err := net.Dial("tcp", p.address) // a request that holds up the end
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprint(c, "GET /look HTTP/1.1\r\nHost: x\r\nX-Trace-Id: 1\r\nX-Qos: look\r\n\r\n")
+	p.Process.Signal(syscall.SIGTERM)
+	p.until("it drains", func() bool { return strings.Contains(p.log.String(), "draining") })
+	p.write(fmt.Sprintf(configuration, p.address, lists[2], api))
+	p.Process.Signal(syscall.SIGHUP)
+	p.until("the configuration is taken while it drains", func() bool { return asked[2].Load() > 0 })
+	if err := p.Wait(); err != nil {
+		t.Error(err)
+	}
+	if n := strings.Count(p.log.String(), "configuration not taken"); n != 1 {
+		t.Errorf("it complained %d times:\n%s", n, p.log.String())
+	}
+}
