A node is not taken for older than it is where the wall clock is stepped

Cause: born_ms is a time of the wall clock, and was held against the wall clock of the marshal's start, carried on steadily. Stepped back by an hour while the marshal runs, a node that starts after it looked an hour old: warm, so that it could be sent more than a cold node takes.

Change: of that clock and the wall clock as it is now the lesser age counts; a start in the future is one that has just been. All other times were already of the monotonic clock.

--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -46,6 +46,7 @@
 	Differs   []string // what the environment says otherwise; the configuration counts
 
 	now    func() time.Time
+	wall   func() time.Time
 	news   gjson.Result
 	known  gjson.Result
 	listen string // of datagrams
@@ -106,7 +107,7 @@
 		}
 		return environment(variables[name])
 	}
-	c := &Config{now: time.Now, Module: brief.Settings(j.Get("settings")), Discovery: said("discovery"),
+	c := &Config{now: time.Now, wall: time.Now, Module: brief.Settings(j.Get("settings")), Discovery: said("discovery"),
 		API: j.Get("release_api.address").Str, Cores: j.Get("limits.cores").Num, MemoryMB: j.Get("limits.memory_mb").Num,
 		news: j.Get("release_api.news"), known: j.Get("known"), listen: j.Get("peer_listen").Str,
 		all: j.Get("peers_all").Str}
@@ -211,4 +212,4 @@
 	return c.reader(log).lines(c.known)
 }
 
-func (c *Config) reader(log *slog.Logger) *reader { return &reader{c.names, c.now, log} }
+func (c *Config) reader(log *slog.Logger) *reader { return &reader{c.names, c.now, c.wall, log} }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -34,6 +34,9 @@
 		hooks.Clock = loop.Monotonic()
 	}
 	c.now = loop.WallClock(hooks.Clock)
+	if hooks.Wall != nil {
+		c.wall = hooks.Wall
+	}
 	known, err := c.Known(log)
 	if err != nil {
 		log.Warn("the list that was held last is of no use", "err", err)
--- a/internal/platform/roster.go
+++ b/internal/platform/roster.go
@@ -108,7 +108,8 @@
 // reader makes lines of the list of what discovery tells.
 type reader struct {
 	names *names
-	now   func() time.Time
+	now   func() time.Time // goes on steadily from the wall clock's time at the start
+	wall  func() time.Time
 	log   *slog.Logger
 }
 
@@ -156,11 +157,22 @@
 		l.Cell = -int(l.ID)
 	}
 	if born := h.Get("born_ms").Int(); born > 0 {
-		l.Incarnation, l.Up = uint64(born), max(1, float64(r.now().UnixMilli()-born))
+		l.Incarnation, l.Up = uint64(born), r.age(born)
 	}
 	return l, nil
 }
 
+// leastAge is the age of a node that has just started, in ms: 0 would mean that it started long ago.
+const leastAge = 1
+
+// age is for how many ms at least a node runs that started at a time of the wall clock. That clock may be stepped while the marshal
+// runs, before or after the node started: of the clock as it is and the clock as it went on from the marshal's start the lesser age
+// counts, and one from the future counts as none. A node that is taken for older than it is would be sent too much while it is cold.
+func (r *reader) age(born int64) float64 {
+	stepped, steady := r.wall().UnixMilli()-born, r.now().UnixMilli()-born
+	return max(leastAge, float64(min(stepped, steady)))
+}
+
 // Roster follows discovery's list of nodes.
 type Roster struct {
 	endpoint
--- a/internal/platform/roster_test.go
+++ b/internal/platform/roster_test.go
@@ -73,7 +73,7 @@
 func followed(t *testing.T, address string) (*Roster, chan string) {
 	listed := make(chan string, 20)
 	log := slog.New(slog.DiscardHandler)
-	r := &Roster{endpoint: endpoint{address: address}, Log: log, read: &reader{&names{zones: []string{"a", "b"}}, time.Now, log},
+	r := &Roster{endpoint: endpoint{address: address}, Log: log, read: &reader{&names{zones: []string{"a", "b"}}, time.Now, time.Now, log},
 		Listed: func(whole bool, lines []control.Line) {
 			text := fmt.Sprint(whole)
 			for _, l := range lines {
@@ -189,7 +189,7 @@
 func TestHostNumbers(t *testing.T) {
 	now := time.Unix(1000, 0)
 	n := &names{}
-	r := &reader{n, func() time.Time { return now }, slog.New(slog.DiscardHandler)}
+	r := &reader{n, func() time.Time { return now }, time.Now, slog.New(slog.DiscardHandler)}
 	for i := range 5000 {
 		for _, health := range []string{"in_service", "terminated"} {
 			lines, err := r.lines(gjson.Parse(told(i, false, host(fmt.Sprint("s-", i), "", health, 1))))
@@ -217,7 +217,7 @@
 
 // Where nothing is known of what two nodes share, they share nothing.
 func TestUnknownPlaces(t *testing.T) {
-	r := &reader{&names{zones: []string{"a"}}, time.Now, slog.New(slog.DiscardHandler)}
+	r := &reader{&names{zones: []string{"a"}}, time.Now, time.Now, slog.New(slog.DiscardHandler)}
 	lines, err := r.lines(gjson.Parse(told(1, true, host("x", "p", "in_service", 1), host("y", "q", "in_service", 1), host("z", "a", "in_service", 1))))
 	if err != nil || lines[0].Zone == lines[1].Zone || lines[0].Zone == 0 || lines[2].Zone != 0 || lines[0].Cell == lines[1].Cell || lines[0].Size != 1 {
 		t.Errorf("%+v, %v", lines, err)
@@ -255,3 +255,29 @@
 		m.End()
 	}
 }
+
+// The wall clock is stepped by an hour while the marshal runs, before or after a node starts. A node that has run for 5 s is not taken
+// for older: it would be sent what a warm one can do.
+func TestWallClockIsStepped(t *testing.T) {
+	const age, hour = 5 * time.Second, time.Hour
+	started := time.Now()
+	for name, c := range map[string]struct {
+		step   time.Duration
+		before bool // the node started before the step
+	}{"forward after": {hour, true}, "forward before": {hour, false}, "back after": {-hour, true}, "back before": {-hour, false}, "none": {0, true}} {
+		now := started.Add(time.Minute) // by a clock that goes on steadily
+		wall := now.Add(c.step)
+		born := now.Add(-age)
+		if !c.before {
+			born = wall.Add(-age)
+		}
+		r := &reader{&names{}, func() time.Time { return now }, func() time.Time { return wall }, slog.New(slog.DiscardHandler)}
+		l, err := r.line(gjson.Parse(fmt.Sprintf(`{"host":"a","dial":"127.0.0.1:1","health":"in_service","build":7,"born_ms":%d}`, born.UnixMilli())))
+		if err != nil || l.Up < leastAge || l.Up > float64(age.Milliseconds()) {
+			t.Errorf("%s: %v ms, %v", name, l.Up, err)
+		}
+		if c.step == 0 && l.Up != float64(age.Milliseconds()) {
+			t.Errorf("without a step: %v ms", l.Up)
+		}
+	}
+}
