The list on disk: synced, tried again when it can't be written, ages not by the wall clock

Cause: a failed writing was not tried again until the list changed, so that a restart began with an older one; the file was renamed before it was on disk; a saved node's age grew by the difference of two wall clocks, an hour's step forward made a cold node warm.

Change: the file and its folder are synced before and after the rename; what can't be written is said and written 0.5 s later; a node in a saved list is as old as it was until the roster tells. Writing can be handed in by a hook.

--- a/internal/serve/list.go
+++ b/internal/serve/list.go
@@ -27,6 +27,8 @@
 	told  map[uint32]float64 // clock time at which a line's age was told
 	// serves is, by address, the node that serves there.
 	serves map[string]uint32
+	// write writes a file and has it on disk.
+	write func(path string, b []byte) error
 }
 
 type process struct {
@@ -36,7 +38,7 @@
 
 func newList(file string, clock loop.Clock) *list {
 	return &list{file: file, clock: clock, begun: map[process]float64{}, lines: map[uint32]control.Line{},
-		told: map[uint32]float64{}, serves: map[string]uint32{}}
+		told: map[uint32]float64{}, serves: map[string]uint32{}, write: writeSynced}
 }
 
 // started is when a node's process started, by the marshal's clock: as it was first told for this process, so
@@ -129,16 +131,42 @@
 
 func byID(a, b control.Line) int { return cmp.Compare(a.ID, b.ID) }
 
-// save keeps a list on disk in place of the one before.
+// save keeps a list on disk in place of the one before, which stays whole until the new one is.
 func (l *list) save(b []byte) error {
-	if err := os.MkdirAll(filepath.Dir(l.file), 0o755); err != nil {
+	folder := filepath.Dir(l.file)
+	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return err
 	}
 	next := l.file + ".next"
-	if err := os.WriteFile(next, b, 0o644); err != nil {
+	if err := l.write(next, b); err != nil {
 		return err
 	}
-	return os.Rename(next, l.file)
+	if err := os.Rename(next, l.file); err != nil {
+		return err
+	}
+	return syncFolder(folder)
+}
+
+// writeSynced writes a file and has it on disk.
+func writeSynced(path string, b []byte) error {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o644)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(b)
+	if err == nil {
+		err = f.Sync()
+	}
+	return errors.Join(err, f.Close())
+}
+
+// syncFolder has a folder's entries on disk.
+func syncFolder(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
 }
 
 // load reads the list of the marshal's life before; one that is torn or not a list is of no use.
@@ -162,16 +190,14 @@
 	if _, err := fmt.Sscanf(s.Text(), head+" %d %d", &saved, &count); err != nil {
 		return nil, fmt.Errorf("line 1 is not %q, a time and a count", head)
 	}
-	age := max(0, float64(time.Now().UnixMilli()-saved)) // a clock set back makes nobody younger
+	// How long ago it was saved isn't known: the machine's wall clock may have been stepped in between, and a node that is taken for older
+	// than it is would be sent too much while it is cold. It counts as old as it was, until the roster tells.
 	var lines []control.Line
 	for s.Scan() {
 		line, err := control.ParseLine(s.Text())
 		if err != nil {
 			return nil, fmt.Errorf("line %d: %w", len(lines)+2, err)
 		}
-		if line.Up > 0 {
-			line.Up += age
-		}
 		lines = append(lines, line)
 	}
 	if len(lines) != count {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -100,6 +100,10 @@
 	// Listen and Connect open sockets; nil: the machine's own.
 	Listen  func(network, address string) (net.Listener, error)
 	Connect func(ctx context.Context, network, address string) (net.Conn, error)
+	// WriteFile writes a file and has it on disk; nil: the machine's own.
+	WriteFile func(path string, b []byte) error
+	// Wall is the machine's wall clock, which may be stepped; nil: the machine's own. It only tells how old a node is.
+	Wall func() time.Time
 }
 
 // Ways are those of another protocol, in place of the project's own lines to roster, conveyor and peers. A nil
@@ -170,6 +174,9 @@
 	for i, of := range set.Pools() {
 		g := &group{m: m, number: i, none: -1, set: of, list: newList(of.Roster.File, hooks.Clock), changed: make(chan struct{}, 1),
 			heard: make(chan struct{})}
+		if hooks.WriteFile != nil {
+			g.list.write = hooks.WriteFile
+		}
 		prefix, log := strconv.Itoa(int(set.Instance.Number))+"-"+strconv.FormatUint(seed>>40, 36)+"-", log
 		if len(set.Pool) > 0 {
 			prefix, log = prefix+strconv.Itoa(i)+"-", log.With("pool", set.Pool[i].Name)
@@ -605,6 +612,9 @@
 // saveEvery is the least time between two writings of a list: a roll changes it hundreds of times a second.
 const saveEvery = 50 * time.Millisecond
 
+// saveAgain is between two tries where a list can't be saved.
+const saveAgain = 500 * time.Millisecond
+
 // save writes the list away from the loops and from who reads the roster.
 func (g *group) save(ctx context.Context) {
 	for {
@@ -616,15 +626,21 @@
 		g.mu.Lock()
 		lines := g.list.copy()
 		g.mu.Unlock()
+		wait := saveEvery
 		if g.list.file != "" {
 			if err := g.list.save(written(lines)); err != nil {
-				g.m.Log.Warn("the list can't be saved", "file", g.list.file, "err", err)
+				g.m.Log.Warn("the list can't be saved", "file", g.list.file, "err", err, "again_in", saveAgain)
+				wait = saveAgain
+				select {
+				case g.changed <- struct{}{}:
+				default: // it has changed since
+				}
 			}
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(saveEvery):
+		case <-time.After(wait):
 		}
 	}
 }
