--- a/cmd/arrowcleat/platform_test.go
+++ b/cmd/arrowcleat/platform_test.go
@@ -18,6 +18,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"arrowcleat/internal/loopback"
 )
 
 // TestMain is the program itself where the environment says so.
@@ -122,13 +124,12 @@
 // runAs does so by a command of its own.
 func runAs(t *testing.T, command *exec.Cmd, configured func(address string) string) *program {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	own, err := loopback.Reserve()
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &program{Cmd: command, t: t, address: ln.Addr().String(),
-		file: filepath.Join(t.TempDir(), "config.json")}
-	ln.Close()
+	t.Cleanup(own.Release)
+	p := &program{Cmd: command, t: t, address: own.At(loopback.RequestPort), file: filepath.Join(t.TempDir(), "config.json")}
 	p.write(configured(p.address))
 	p.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+p.file)
 	p.Stderr = &p.log
--- a/internal/day/parts.go
+++ b/internal/day/parts.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -15,6 +14,7 @@
 
 	"google.golang.org/protobuf/encoding/prototext"
 
+	"arrowcleat/internal/loopback"
 	"arrowcleat/internal/record"
 	"arrowcleat/internal/serve"
 	"arrowcleat/internal/settings"
@@ -126,6 +126,7 @@
 	number  int
 	zone    int
 	set     *settings.Settings
+	own     *loopback.Reservation
 	address string
 
 	mu   sync.Mutex
@@ -137,19 +138,18 @@
 	stalls int // of single cores
 }
 
-// newMarshal prepares the settings of a marshal; ports are chosen here, so that all know where all are.
+// newMarshal prepares the settings of a marshal; addresses are chosen here, so that all know where all are.
 func (w *world) newMarshal(number int) (*aMarshal, error) {
 	set := w.Plan.Settings.Copy()
 	m := &aMarshal{w: w, number: number, zone: number % len(set.Zone), set: set}
 	set.Instance.Number, set.Instance.Zone = uint32(number), set.Zone[m.zone]
 	set.Roster.Address, set.Conveyor.Address = w.roster.Address(), w.conveyor.Address()
 	set.Roster.File = filepath.Join(w.Dir, fmt.Sprintf("marshal-%d.list", number))
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	own, err := loopback.Reserve()
 	if err != nil {
 		return nil, err
 	}
-	defer ln.Close()
-	m.address = ln.Addr().String()
+	m.own, m.address = own, own.At(loopback.RequestPort)
 	set.Listen.Invocations = m.address
 	return m, nil
 }
--- a/internal/day/world.go
+++ b/internal/day/world.go
@@ -502,6 +502,7 @@
 	w.tasks.end()
 	for _, m := range w.marshals {
 		m.end()
+		m.own.Release()
 	}
 	if w.clients != nil {
 		w.clients.close()
--- a/internal/soak/address.go
+++ b/internal/loopback/loopback.go
@@ -1,10 +1,11 @@
-package soak
+// Package loopback reserves loopback addresses for processes that are started, ended and started again at the same one, and tells who listens
+// at an address. Linux only.
+package loopback
 
 import (
 	"bufio"
 	"encoding/binary"
 	"encoding/hex"
-	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -14,24 +15,24 @@
 	"sync/atomic"
 )
 
-// Ports at which a marshal process is reached. They lie below the range from which the kernel gives ports to those that ask for any, and
-// each process has an address of its own: nobody else can be given one of its addresses while it does not listen.
+// Ports of a reserved address. They lie below the range from which the kernel gives ports to those that ask for any: nobody else can be
+// given one of them while its process does not listen.
 const (
-	requestPort  = 7070
-	datagramPort = 7071
+	RequestPort  = 7070
+	DatagramPort = 7071
 	guardPort    = 7072 // held for as long as the address is reserved, against other programs that reserve
 )
 
-// reservation is a loopback address that this program alone uses.
-type reservation struct {
+// Reservation is a loopback address that this program alone uses.
+type Reservation struct {
 	ip    netip.Addr
 	guard net.Listener
 }
 
 var reserved atomic.Uint32
 
-// reserve takes a loopback address that nobody has reserved.
-func reserve() (*reservation, error) {
+// Reserve takes a loopback address that nobody has reserved.
+func Reserve() (*Reservation, error) {
 	const tries = 1000
 	var err error
 	for range tries {
@@ -43,18 +44,23 @@
 		ip := netip.AddrFrom4(bytes)
 		var guard net.Listener
 		if guard, err = net.Listen("tcp", netip.AddrPortFrom(ip, guardPort).String()); err == nil {
-			return &reservation{ip, guard}, nil
+			return &Reservation{ip, guard}, nil
 		}
 	}
 	return nil, fmt.Errorf("no loopback address is free: %w", err)
 }
 
-func (a *reservation) at(port uint16) string { return netip.AddrPortFrom(a.ip, port).String() }
+// At is the address with a port.
+func (a *Reservation) At(port uint16) string { return netip.AddrPortFrom(a.ip, port).String() }
 
-func (a *reservation) release() { a.guard.Close() }
+// Nowhere is an address to which datagrams go and nobody receives them.
+func (a *Reservation) Nowhere() string { return a.At(guardPort) }
 
-// listens says whether it is the process with this id that listens at a TCP address, by the kernel's table of sockets.
-func listens(pid int, address string) (bool, error) {
+// Release gives the address back.
+func (a *Reservation) Release() { a.guard.Close() }
+
+// Listens says whether it is the process with this id that listens at a TCP address, by the kernel's table of sockets.
+func Listens(pid int, address string) (bool, error) {
 	inode, err := listener(address)
 	if err != nil || inode == "" {
 		return false, err
@@ -96,6 +102,3 @@
 		}
 	}
 }
-
-// errOther says that somebody else answers at a marshal's address.
-var errOther = errors.New("another process listens at its address")
--- a/internal/serve/close_test.go
+++ b/internal/serve/close_test.go
@@ -73,7 +73,9 @@
 				time.Sleep(2050 * time.Millisecond) // connections that have served are left alone for 2 s
 				go func() {
 					for range 20 {
-						r.client()
+						if c, err := net.Dial("tcp", r.m.Address()); err == nil {
+							defer c.Close()
+						}
 						time.Sleep(3 * time.Millisecond)
 					}
 				}()
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -39,12 +39,12 @@
 	}
 }
 
-// pause draws how long the client rests before its next request. Long ones, about as long as a marshal goes on taking new connections
+// pause draws how long the client rests before its next request. Long ones, longer than a marshal goes on taking new connections
 // after TERM, have requests cross the end of connections that rest.
 func (c *client) pause() time.Duration {
 	switch {
 	case c.rnd.Float64() < c.m.run.plan.Rests:
-		return between(c.rnd, 450*time.Millisecond, 750*time.Millisecond)
+		return between(c.rnd, 450*time.Millisecond, 1200*time.Millisecond)
 	case c.rnd.IntN(30) == 0:
 		return between(c.rnd, 100*time.Millisecond, time.Second)
 	default:
--- a/internal/soak/life.go
+++ b/internal/soak/life.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"arrowcleat/internal/loopback"
 )
 
 // lifeRun is one process of a marshal, and the clients of its life.
@@ -82,9 +84,12 @@
 	return fmt.Errorf("not ready within %v", readyWithin)
 }
 
+// errOther says that somebody else answers at a marshal's address.
+var errOther = errors.New("another process listens at its address")
+
 // itself checks that it is this process that answers.
 func (r *lifeRun) itself() error {
-	own, err := listens(r.cmd.Process.Pid, r.m.address)
+	own, err := loopback.Listens(r.cmd.Process.Pid, r.m.address)
 	if err == nil && !own {
 		err = errOther
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"arrowcleat/internal/audit"
+	"arrowcleat/internal/loopback"
 	"arrowcleat/internal/record"
 	"arrowcleat/internal/schedlag"
 	"arrowcleat/internal/standin"
@@ -125,7 +126,7 @@
 	run       *run
 	number    int
 	rnd       *rand.Rand
-	own       *reservation
+	own       *loopback.Reservation
 	address   string
 	datagrams string
 	config    string // file
@@ -138,11 +139,11 @@
 	for i := range r.plan.Marshals {
 		m := &marshalRun{run: r, number: i, rnd: rand.New(rand.NewPCG(r.plan.Seed, uint64(10+i))),
 			config: filepath.Join(r.dir, fmt.Sprintf("config-%d.json", i))}
-		if m.own, err = reserve(); err != nil {
+		if m.own, err = loopback.Reserve(); err != nil {
 			return nil, err
 		}
-		m.address, m.datagrams = m.own.at(requestPort), m.own.at(datagramPort)
-		r.all = m.own.at(guardPort) // nobody receives there
+		m.address, m.datagrams = m.own.At(loopback.RequestPort), m.own.At(loopback.DatagramPort)
+		r.all = m.own.Nowhere()
 		r.quoted = append(r.quoted, strconv.Quote(m.datagrams))
 		all = append(all, m)
 	}
@@ -172,7 +173,7 @@
 }
 
 func (m *marshalRun) close() {
-	m.own.release()
+	m.own.Release()
 	m.agent.Close()
 	m.api.Close()
 	for _, o := range m.old {
