Guard: a repeat that may have its effect again, or a refusal of what may have run, is held back

Need: the rule against double effects hung on the module alone; the marshal's side had no check of its own.

Change: marshal.Core knows what each operation allows (internal/marshal/guard.go). The last look before a dispatch is written stands in one function with a reason each, counted and logged. Repeats are logged at debug. The planted fault on effects runs without the guard, as its check is the audit's.

Evidence: TestRepeatsKeepTheRule, twelve cases.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -364,11 +364,6 @@
 	}
 }
 
-// NeverRan says that an ending proves that nothing ran.
-func NeverRan(how balance.Ending) bool {
-	return how == balance.Full || how == balance.NoConnect || how == balance.Ignored
-}
-
 // The names of ORCA's text header, endpoint-load-metrics (the xDS ORCA proposal's TEXT form), as the module
 // knows them; the others are skipped.
 var orca = map[string]string{"cpu_utilization": "busy", "rps_fractional": "rate", "eps": "errors",
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -10,6 +10,7 @@
 	"arrowcleat/balance"
 	"arrowcleat/internal/back"
 	"arrowcleat/internal/h1"
+	"arrowcleat/internal/marshal"
 )
 
 // dispatch sends the invocation to a node and waits for what becomes of it.
@@ -35,7 +36,7 @@
 	}
 	f.Expired = f.Expired || !time.Now().Before(until)
 	x.how = x.detach(&f)
-	if x.ranSince == 0 && !back.NeverRan(x.how) {
+	if x.ranSince == 0 && !marshal.NeverRan(x.how) {
 		x.ranSince = start
 	}
 	how, took := x.how, s.Clock.Now()-start
@@ -99,20 +100,11 @@
 			f.Err = context.Canceled
 			return nil
 		}
-		// Decided on before the word that the node drains, or without it; under a cap that has fallen since; or while nodes
-		// still knew the key: never sent.
-		late := x.c.s.Pool.Late(address) && !x.c.s.Faults.Late
-		if late || x.c.s.Pool.Superseded(address, decided) || !time.Now().Before(writeBy) {
+		if err := x.mayWrite(address, writeBy, decided); err != nil {
 			x.c.s.Pool.Put(node)
-			f.Canceled, f.Err = true, errLate
-			return nil
-		}
-		// A client that has left may not be noticed yet: its reader has its turn after a marshal that stood still, as this
-		// worker has. It costs a look at the socket for each attempt.
-		if back.Ended(x.c.nc) && !x.c.s.Faults.Gone {
-			x.c.s.Pool.Put(node)
-			x.c.leave()
-			f.Canceled, f.Err = true, errClient
+			f.Canceled, f.Err = true, err
+			x.c.s.Counts.HeldBack.Add(1)
+			x.c.s.Log.Debug("dispatch not written", "request", x.requestID, "node", address, "why", err)
 			return nil
 		}
 		f.Wrote, f.Err = x.writeTo(node, f)
@@ -146,9 +138,30 @@
 	return x.c.s.Pool.Get(ctx, address, true)
 }
 
-var errLate = errors.New("too late for anything new to this node")
+// Why a dispatch that was decided on is not written.
+var (
+	errDrains  = errors.New("the node drains or is gone")
+	errCapFell = errors.New("the cap of the node's build has fallen since it was decided on")
+	errWindow  = errors.New("its time, or that in which nodes know the key, is over")
+	errClient  = errors.New("the client has gone, or broke off its body")
+)
 
-var errClient = errors.New("the client broke off its body")
+// mayWrite is the last look before a dispatch is written: what it was decided on by may be over by now.
+func (x *exchange) mayWrite(address string, writeBy, decided time.Time) error {
+	pool, faults := x.c.s.Pool, &x.c.s.Faults
+	switch {
+	case pool.Late(address) && !faults.Late:
+		return errDrains
+	case pool.Superseded(address, decided):
+		return errCapFell
+	case !time.Now().Before(writeBy):
+		return errWindow
+	case back.Ended(x.c.nc) && !faults.Gone: // its reader, which has its turn after this one, has not noticed yet
+		x.c.leave()
+		return errClient
+	}
+	return nil
+}
 
 // writeTo writes the request as it goes on to a node.
 func (x *exchange) writeTo(node *back.Conn, f *back.Fate) (int64, error) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -83,6 +83,7 @@
 	Read     atomic.Int64 // requests read, also those that could not be used
 	Answered atomic.Int64 // of them, those whose final answer was begun
 	Left     atomic.Int64 // and those whose client had gone before it
+	HeldBack atomic.Int64 // dispatches decided on that the last look before writing held back
 	Closed   [closeReasons]atomic.Int64
 
 	// Violations of what must hold: each is also logged.
@@ -94,7 +95,7 @@
 func (c *Counts) LogValue() slog.Value {
 	return slog.GroupValue(slog.Int64("connections", c.Connections.Load()), slog.Int64("turned_away", c.TurnedAway.Load()),
 		slog.Int64("malformed", c.Malformed.Load()), slog.Int64("read", c.Read.Load()), slog.Int64("answered", c.Answered.Load()),
-		slog.Int64("left", c.Left.Load()), slog.Int64("unanswered", c.Unanswered.Load()),
+		slog.Int64("left", c.Left.Load()), slog.Int64("held_back", c.HeldBack.Load()), slog.Int64("unanswered", c.Unanswered.Load()),
 		slog.Int64("second_answers", c.SecondAnswers.Load()), slog.String("closed", fmt.Sprint(c.ClosedBy())))
 }
 
--- a/internal/marshal/marshal.go
+++ b/internal/marshal/marshal.go
@@ -45,14 +45,21 @@
 	invs   map[string]*invocation
 	nodes  map[uint32]*NodeRecord
 	record Record
+
+	// Rules are those of the operations, by their index; nil: nothing is checked.
+	Rules []RepeatRule
 }
 
 type invocation struct {
-	x    Exchange
-	node uint32 // of the last dispatch
-	sent int
-	open int // dispatches out
-	done bool
+	x      Exchange
+	op     int
+	node   uint32 // of the last dispatch
+	sent   int
+	open   int // dispatches out
+	done   bool
+	lastNo int       // the number of the last dispatch that was sent
+	last   attempt   // and where and when it was
+	ran    []attempt // those that have ended and may have run
 }
 
 // Record is what the marshal knows of itself; Core.Look hands out a copy.
@@ -64,6 +71,7 @@
 	Ver, Stage                                      int
 	Phase                                           balance.Phase
 	Cap                                             float64
+	Violations                                      Violations
 	Nodes                                           map[uint32]NodeRecord
 	Last                                            []string // the module's last log lines
 }
@@ -94,7 +102,7 @@
 func (c *Core) Arrived(x Exchange, op, tenant int, key string, budget, cost float64, retry, write bool) string {
 	c.next++
 	id := c.prefix + strconv.FormatUint(c.next, 36)
-	c.invs[id] = &invocation{x: x}
+	c.invs[id] = &invocation{x: x, op: op}
 	c.record.Taken++
 	c.module.Arrived(id, op, tenant, key, budget, cost, retry, write)
 	return id
@@ -108,6 +116,9 @@
 		return
 	}
 	inv.open--
+	if !NeverRan(how) && no == inv.lastNo {
+		inv.ran = append(inv.ran, inv.last)
+	}
 	if n := c.nodes[inv.node]; n != nil {
 		n.Endings[how]++
 	}
@@ -210,6 +221,7 @@
 		r.Endings[i] += n
 	}
 	r.Open += o.Open
+	r.Violations.add(o.Violations)
 	for id, n := range o.Nodes {
 		mine, ok := r.Nodes[id]
 		if !ok {
@@ -263,19 +275,44 @@
 	no := inv.sent
 	inv.sent++
 	inv.open++
-	// A second copy beside one that is out, an answered invocation, what has no time and what has no address are never
-	// sent.
-	if inv.done || inv.open > 1 || within <= 0 || to == nil || to.Address == "" {
+	if why := c.heldBack(inv, to, within); why != "" {
+		c.log.Debug("dispatch held back", "inv", id, "no", no, "node", node, "why", why)
 		c.out.After(0, func() { c.Ended(id, no, balance.Ignored, 0, false, nil) })
 		return
 	}
-	inv.node = node
+	if no > 0 {
+		c.log.Debug("dispatch repeated", "inv", id, "no", no, "node", node, "may_have_run", len(inv.ran))
+	}
+	inv.node, inv.lastNo, inv.last = node, no, attempt{to.Node, c.out.Now()}
 	c.record.Dispatches++
 	to.Sent++
 	to.LastSent = c.out.Now()
 	inv.x.Dispatch(no, node, to.Address, within)
 }
 
+// heldBack says why a dispatch must not be sent, empty where it may: an answered invocation, what has no time and what has no address;
+// and against the rules, which is counted, a second copy beside one that is out and a repeat that may have its effect again.
+func (c *Core) heldBack(inv *invocation, to *NodeRecord, within float64) (why string) {
+	violations := &c.record.Violations
+	switch {
+	case inv.done:
+		return "answered"
+	case within <= 0:
+		return "no time"
+	case to == nil || to.Address == "":
+		return "no address"
+	case inv.open > 1:
+		violations.Copies++
+		c.log.Warn("a second copy was held back", "node", to.ID)
+		return "a copy is out"
+	case !c.mayRepeat(inv, to.Node):
+		violations.Repeats++
+		c.log.Error("a repeat that may have its effect again was held back", "node", to.ID)
+		return "it may have run"
+	}
+	return ""
+}
+
 func (c *Core) Cancel(id string, no int) {
 	if inv := c.invs[id]; inv != nil {
 		c.record.Cancels++
@@ -284,7 +321,14 @@
 }
 
 func (c *Core) Throttle(id string, comeBack float64) {
-	if inv := c.invs[id]; inv != nil && !inv.done {
+	inv := c.invs[id]
+	if inv != nil && !inv.done && !c.mayRefuse(inv) {
+		c.record.Violations.Refusals++
+		c.log.Error("a refusal of what may have run was held back", "inv", id)
+		c.Terminate(id)
+		return
+	}
+	if inv != nil && !inv.done {
 		inv.done = true
 		c.record.Throttled++
 		inv.x.Throttle(comeBack)
--- a/internal/plant/plant.go
+++ b/internal/plant/plant.go
@@ -32,6 +32,8 @@
 		h.Front = func(s *front.Server) { s.Faults.NoGuard = true }
 	case audit.Drain:
 		h.Front = func(s *front.Server) { s.Faults.Late = true }
+	case audit.Effects:
+		h.Unguarded = true
 	case audit.OneOut:
 		h.Front = func(s *front.Server) { s.Faults.Copies = true }
 	}
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -193,7 +193,8 @@
 		if !ok || text("name") == "" || limit <= 0 {
 			return nil, fmt.Errorf("operation %q: name, repeat or time limit is missing or unknown", text("name"))
 		}
-		s.Operation = append(s.Operation, &settings.Operation{Name: text("name"), Repeat: repeat, LimitMs: limit, MemoryMs: memory})
+		s.Operation = append(s.Operation, &settings.Operation{Name: text("name"), Repeat: repeat, LimitMs: limit, MemoryMs: memory,
+			Group: text("group")})
 		s.Times.StopMs = max(s.Times.StopMs, limit+restMs)
 	}
 	tenants, _ := c.Module["tenants"].([]balance.Settings)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -130,5 +130,5 @@
 	slices.Sort(nodes)
 	m.Log.Debug("view", "taken", r.Taken, "succeeded", r.Succeeded, "throttled", r.Throttled, "terminated", r.Terminated,
 		"lapsed", r.Lapsed, "open", r.Open, "dispatches", r.Dispatches, "endings", fmt.Sprint(r.Endings), "ver", r.Ver, "stage", r.Stage,
-		"cap", r.Cap, "requests", &m.Front.Counts, "refused_behind", m.Behind(), "goroutines", runtime.NumGoroutine(), "nodes", strings.Join(nodes, " "))
+		"cap", r.Cap, "requests", &m.Front.Counts, "violations", fmt.Sprintf("%+v", r.Violations), "refused_behind", m.Behind(), "goroutines", runtime.NumGoroutine(), "nodes", strings.Join(nodes, " "))
 }
--- a/internal/serve/meter.go
+++ b/internal/serve/meter.go
@@ -31,6 +31,7 @@
 	descDone  = desc("arrowcleat_requests_done_total", "Requests read and over, by their outcome; unanswered must stay 0.", []string{"outcome"}, nil)
 	descTwice = desc("arrowcleat_second_answers_total", "Answers held back since none was owed; must stay 0.", nil, nil)
 	descEnds  = desc("arrowcleat_connections_closed_total", "Clients' connections closed, by the reason.", []string{"reason"}, nil)
+	descHeld  = desc("arrowcleat_dispatches_held_back_total", "Dispatches decided on that the last look before writing held back.", nil, nil)
 	descChair = desc("arrowcleat_chair", "The core whose instance votes for the marshal.", []string{"pool"}, nil)
 	descTaken = desc("arrowcleat_window_taken", "Invocations in the window that the exposure rule counts.", perScope, nil)
 	descExp   = desc("arrowcleat_window_exposed", "Exposures in the window, leases that are out among them.", perScope, nil)
@@ -61,6 +62,7 @@
 	for outcome, n := range map[string]int64{"answered": counts.Answered.Load(), "left": counts.Left.Load(), "unanswered": counts.Unanswered.Load()} {
 		put(descDone, count, float64(n), outcome)
 	}
+	put(descHeld, count, float64(counts.HeldBack.Load()))
 	put(descTwice, count, float64(counts.SecondAnswers.Load()))
 	for reason, n := range counts.ClosedBy() {
 		put(descEnds, count, float64(n), reason)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -97,6 +97,8 @@
 	Module func(h balance.Host, set balance.Settings, seed uint64) divide.Module
 	Front  func(*front.Server)
 	Ways   *Ways
+	// Unguarded leaves out the check that further attempts and refusals keep the rule against double effects.
+	Unguarded bool
 	// Listen and Connect open sockets; nil: the machine's own.
 	Listen  func(network, address string) (net.Listener, error)
 	Connect func(ctx context.Context, network, address string) (net.Conn, error)
@@ -123,6 +125,20 @@
 	Peers func(told func(from int, text string)) (Peers, error)
 }
 
+// repeatRules are those of operations.
+func repeatRules(operations []*settings.Operation) []marshal.RepeatRule {
+	rules := make([]marshal.RepeatRule, len(operations))
+	for i, o := range operations {
+		switch o.Repeat {
+		case settings.Repeat_IDEMPOTENT:
+			rules[i].Free = true
+		case settings.Repeat_FINGERPRINTED:
+			rules[i] = marshal.RepeatRule{Group: marshal.Group(o.Group), WithinMs: o.MemoryMs}
+		}
+	}
+	return rules
+}
+
 // Roster brings the list of nodes.
 type Roster interface {
 	Run(context.Context)
@@ -190,6 +206,9 @@
 				prefix, log = prefix+strconv.Itoa(j)+"-", log.With("core", j)
 			}
 			l.core = marshal.New(l, log, prefix)
+			if !hooks.Unguarded {
+				l.core.Rules = repeatRules(of.Operation)
+			}
 			g.lanes, cores[j] = append(g.lanes, l), append(cores[j], l.core)
 		}
 		m.groups = append(m.groups, g)
