--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -60,7 +60,7 @@
 	defer ln.Close()
 	d, ok := ln.Listener.(deadlined)
 	end := time.Now().Add(lastAcceptsFor)
-	for idle := 0; ok && !s.aborted.Load() && !s.killed.Load() && idle < 2 && time.Now().Before(end); { // one that stood still may find its deadline past before it has looked
+	for idle := 0; ok && !s.killed.Load() && idle < 2 && time.Now().Before(end); { // one that stood still may find its deadline past before it has looked
 		d.SetDeadline(time.Now().Add(lastLook))
 		nc, err := ln.Accept()
 		switch {
@@ -73,7 +73,9 @@
 			return
 		default:
 			time.Sleep(acceptWait)
-			idle, end = 0, time.Now().Add(lastAcceptsFor)
+			if !s.aborted.Load() {
+				idle, end = 0, time.Now().Add(lastAcceptsFor)
+			}
 		}
 	}
 }
--- a/internal/serve/scarce_test.go
+++ b/internal/serve/scarce_test.go
@@ -129,3 +129,21 @@
 		t.Errorf("an address that is taken: %v after %v", err, time.Since(begun))
 	}
 }
+
+// The marshal ends at once, as after a second word to stop or a panic of its module, while a request waits to be accepted: it is still
+// accepted and told that it was not taken.
+func TestAcceptQueueAtAnEndAtOnce(t *testing.T) {
+	n := &scarceNetwork{}
+	r := start(t, 1, ok, nil, rigHooks{Hooks: Hooks{Listen: n.listen}})
+	n.set(syscall.EMFILE)
+	waking := r.client() // the accept that waits had begun before
+	waking.send(get, "look")
+	waking.expect("200")
+	queued := r.client()
+	queued.send(get, "look-queued")
+	n.set(0)
+	if err := r.m.End(); err != nil {
+		t.Error(err)
+	}
+	queued.expect("503 not-taken")
+}
