Soak: machines with faults, connections spoilt on the way, fleets, clients that send in two pieces

Need: the next release meets other faults than a stop.

Change: package faults, which nothing that serves uses: a machine on which sockets can't be had for a moment (ENFILE, ENOBUFS, EMFILE, ECONNABORTED, EADDRNOTAVAIL, ENETUNREACH), reads are short, writes go in pieces, resets show as ETIMEDOUT or EHOSTUNREACH, any look at the clock and any call may take up to 20 ms, and the wall clock is stepped by 3 s or an hour; and a proxy that resets, cuts, delays, holds or half-opens connections to nodes, and breaks those to agent and release API. The soak hands them to the real process by a hidden command; they overlap with its signals, drains, deaths, silences and roll-outs. One run in ten has 12 to 23 marshals.

Not injected: EINTR (the runtime deals with it below anything that can be handed in).

--- a/cmd/arrowcleat/main.go
+++ b/cmd/arrowcleat/main.go
@@ -55,7 +55,7 @@
 	}
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return badInput{err} })
 	c.AddCommand(serveCommand(), checkCommand(), fmtCommand(), diffCommand(), compileCommand(), decompileCommand(),
-		explainCommand(), syntaxCommand(), standinCommand(), dayCommand(), auditCommand(), platformCommand(), soakCommand(),
+		explainCommand(), syntaxCommand(), standinCommand(), dayCommand(), auditCommand(), platformCommand(), soakCommand(), underFaultsCommand(),
 		replayCommand(), measureCommand(), versionCommand())
 	return c
 }
--- a/cmd/arrowcleat/soak.go
+++ b/cmd/arrowcleat/soak.go
@@ -6,10 +6,13 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"strconv"
 	"sync"
 
 	"github.com/spf13/cobra"
 
+	"arrowcleat/internal/faults"
+	"arrowcleat/internal/serve"
 	"arrowcleat/internal/soak"
 )
 
@@ -24,7 +27,8 @@
 		Use:   "soak",
 		Short: "Play seeded runs of the platform's marshal under signals, and audit them",
 		Long: `soak plays runs of "arrowcleat platform" as a process on loopback: stand-in discovery, release API and nodes, clients that use
-their connections until the kill, signals in series, restarts. All is drawn from the seed: the same seed plays the same plan.
+their connections until the kill, signals in series, restarts; in half of the runs the machine lacks sockets now and then, reads short, writes
+in pieces, holds steps up and steps its wall clock, and in most some connections are reset, cut, late, held or half open on the way. All is drawn from the seed: the same seed plays the same plan.
 
 Exit code 0: every run kept the rules. 1: one did not; its logs stay in --dir.`,
 		Example: "  arrowcleat soak --seed 1 --runs 50",
@@ -41,7 +45,7 @@
 					return err
 				}
 			}
-			return soakAll(c.OutOrStdout(), soak.Options{Dir: dir, Program: []string{program, "platform"}}, seed, runs)
+			return soakAll(c.OutOrStdout(), soak.Options{Dir: dir, Program: []string{program, underFaults}}, seed, runs)
 		},
 	}
 	c.Flags().Uint64Var(&seed, "seed", 1, "the first run's")
@@ -51,6 +55,33 @@
 	return c
 }
 
+// underFaults is the command by which the soak starts a marshal.
+const underFaults = "platform-under-faults"
+
+// underFaultsCommand is platform on a machine with faults, where the environment tells their seed.
+func underFaultsCommand() *cobra.Command {
+	var level string
+	c := &cobra.Command{
+		Use:    underFaults,
+		Short:  "Run the platform's marshal on a machine with seeded faults; for the soak",
+		Hidden: true,
+		Args:   noArgs,
+		RunE: func(*cobra.Command, []string) error {
+			var hooks serve.Hooks
+			if text := os.Getenv(soak.FaultSeed); text != "" {
+				seed, err := strconv.ParseUint(text, 10, 64)
+				if err != nil {
+					return badInput{fmt.Errorf("%s: %w", soak.FaultSeed, err)}
+				}
+				hooks = faults.NewMachine(seed).Hooks()
+			}
+			return runOnPlatform(os.Getenv("GW_CONFIG"), level, hooks)
+		},
+	}
+	c.Flags().StringVar(&level, "log", "info", "as of platform")
+	return c
+}
+
 // soakAll plays runs, some at once, and prints each, and what was checked in all.
 func soakAll(out io.Writer, o soak.Options, seed uint64, runs int) error {
 	var wg sync.WaitGroup
--- a/cmd/arrowcleat/soak_test.go
+++ b/cmd/arrowcleat/soak_test.go
@@ -95,7 +95,7 @@
 		t.Skip("plays for some twenty seconds")
 	}
 	var out bytes.Buffer
-	err := soakAll(&out, soak.Options{Dir: keptFolder(t), Program: []string{os.Args[0], "platform"}, Env: []string{asProgram + "=1", exitAtOnce}}, 1, 12)
+	err := soakAll(&out, soak.Options{Dir: keptFolder(t), Program: []string{os.Args[0], underFaults}, Env: []string{asProgram + "=1", exitAtOnce}}, 1, 24)
 	t.Log(out.String())
 	if err != nil {
 		t.Error(err)
@@ -124,6 +124,7 @@
 			p.Classes = soak.AllClasses(900 * ms)
 			p.Lives = [][]soak.Life{{c.life}}
 			p.Crowd, p.Asking, p.Half, p.Leave = 0, 0, 0, 0.1
+			p.Machine, p.Spoilt = false, 0
 			switch fault {
 			case "strangers":
 				p.Crowd = 20
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -97,6 +97,20 @@
 	return r
 }
 
+// send writes a request, some in two pieces with a while between them.
+func (c *client) send(text string) error {
+	if c.rnd.Float64() < c.m.run.plan.Pause {
+		cut := 1 + c.rnd.IntN(len(text)-1)
+		if _, err := io.WriteString(c.nc, text[:cut]); err != nil {
+			return err
+		}
+		c.life.wait(between(c.rnd, 0, 60*time.Millisecond))
+		text = text[cut:]
+	}
+	_, err := io.WriteString(c.nc, text)
+	return err
+}
+
 func (c *client) see(r request, kind, final, text string, at time.Time) {
 	c.m.run.see(&record.Seen{Kind: kind, AtUs: at.UnixMicro(), Inv: r.id, Instance: int64(c.m.number), Op: int64(r.class),
 		LimitMs: float64(r.limit) / float64(time.Millisecond), Final: final, Text: text})
@@ -116,7 +130,7 @@
 	}
 	for again := false; ; again = true {
 		c.life.asking.Add(1)
-		_, err := io.WriteString(c.nc, r.text)
+		err := c.send(r.text)
 		asked := time.Now()
 		c.see(r, "asked", "", "", asked)
 		if err == nil && c.rnd.Float64() < c.m.run.plan.Leave && !again {
@@ -256,8 +270,8 @@
 	}()
 	due := time.Now().Add(strangerTime)
 	nc.SetReadDeadline(due.Add(pauseMost + seenLate))
-	b := make([]byte, 256)
-	n, err := nc.Read(b)
+	b := make([]byte, len("HTTP/1.1 4"))
+	n, err := io.ReadFull(nc, b) // it may come in pieces
 	if errors.Is(err, os.ErrDeadlineExceeded) && !l.killed.Load() {
 		l.m.run.fault("%s: neither an error nor a close within %v", what, strangerTime)
 	}
--- a/internal/soak/life.go
+++ b/internal/soak/life.go
@@ -36,6 +36,9 @@
 	strangers, asking atomic.Int64
 }
 
+// FaultSeed is the variable that tells a process the seed of its machine's faults; without it the machine has none.
+const FaultSeed = "ARROWCLEAT_FAULT_SEED"
+
 // start starts the process. What the agent and the configuration have counts as told from its first moment.
 func (m *marshalRun) start(number int, l Life) (*lifeRun, error) {
 	file := filepath.Join(m.run.dir, fmt.Sprintf("marshal-%d-life-%d.log", m.number, number))
@@ -51,6 +54,9 @@
 	args := append(append([]string{}, m.run.opts.Program[1:]...), "--log", "debug")
 	r.cmd = exec.Command(m.run.opts.Program[0], args...)
 	r.cmd.Env = append(append(os.Environ(), m.run.opts.Env...), "GW_CONFIG="+m.config)
+	if m.run.plan.Machine {
+		r.cmd.Env = append(r.cmd.Env, fmt.Sprintf("%s=%d", FaultSeed, m.run.plan.Seed<<16|uint64(m.number)<<8|uint64(number)))
+	}
 	r.cmd.Stderr = log
 	m.see("up")
 	for _, h := range m.agent.List() {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -93,7 +93,10 @@
 	Pieces   bool
 	Leave    float64 // share of requests whose client leaves before its answer
 	Half     float64 // of those that are sent by half only
+	Pause    float64 // of those that are sent in two pieces
 	Rests    float64 // of clients' pauses, those that are about as long as a marshal drains
+	Machine  bool    // the marshals' machines have faults: package faults
+	Spoilt   float64 // share of the connections between marshals and nodes, agent and release API that are spoilt on the way
 	Trouble  float64 // share of requests that a node deals with otherwise than well
 	Events   time.Duration
 	Kinds    []Event  // what may happen to nodes, lists and builds; those named twice twice as often
@@ -124,6 +127,11 @@
 		Half: pick(rnd, 0, 0.005, 0.02), Trouble: 0.3 * rnd.Float64(),
 		Events: between(rnd, 120*ms, 500*ms), Kinds: []Event{Drain, Die, Grow, Silence, Advance, Advance}}
 	p.Rests = pick(rnd, 0, 0.1, 0.5)
+	p.Pause = pick(rnd, 0, 0.1)
+	p.Machine, p.Spoilt = rnd.IntN(2) == 0, pick(rnd, 0, 0.1, 0.3)
+	if rnd.IntN(fleetEvery) == 0 {
+		p.Marshals, p.Clients = 12+rnd.IntN(12), 3
+	}
 	p.Zones = pick(rnd, []string{"here"}, []string{"here", "there"}, nil)
 	p.Classes = []Class{{Name: "look", Repeat: settings.Repeat_IDEMPOTENT}}
 	if rnd.IntN(3) > 0 {
@@ -150,6 +158,9 @@
 	return p
 }
 
+// fleetEvery is one of how many runs has a few dozen processes.
+const fleetEvery = 10
+
 func drawLife(rnd *rand.Rand) Life {
 	ms := time.Millisecond
 	l := Life{Load: between(rnd, 600*ms, 2400*ms), NewFor: between(rnd, 200*ms, 400*ms),
@@ -228,7 +239,7 @@
 "rules":{"stop-sending-within-s":%g,"warm-up-s":1.0},
 "domain":{"api-timeout-s":0.3,"api-rate":20.0,"vote-ttl-s":4.0,"most-shares":[%s],"stage-share":[%s],"counted-over-s":%g,"allowance":%g,
 "cap-scope":"all","gate-mode":"first_voice"},"request-classes":[%s]}}`,
-		m.number, m.address, m.agent.Address(), p.Seed, p.Sockets, m.datagrams, strings.Join(m.run.quoted, ","), m.run.all, m.api.Address(),
+		m.number, m.address, m.agentAddress, p.Seed, p.Sockets, m.datagrams, strings.Join(m.run.quoted, ","), m.run.all, m.apiAddress,
 		news.JSON(), standin.Message(1, true, known), p.Marshals, m.number, strings.Join(zones, ","), p.Peers, p.Idle.Seconds(), p.Dial.Seconds(),
 		p.Grace.Seconds(), caps, caps, p.Window.Seconds(), p.Free, strings.Join(classes, ","))
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -132,7 +132,9 @@
 	config    string // file
 	agent     *standin.Agent
 	api       *standin.ReleaseAPI
-	old       []interface{ Close() }
+	// Where the marshal reaches them: at a proxy, in some runs.
+	agentAddress, apiAddress string
+	old                      []interface{ Close() }
 }
 
 func (r *run) newMarshals() (all []*marshalRun, err error) {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -9,22 +9,24 @@
 	"time"
 
 	"arrowcleat/balance"
+	"arrowcleat/internal/faults"
 	"arrowcleat/internal/standin"
 )
 
 // world is what the marshals of a run work among.
 type world struct {
-	run   *run
-	rnd   *rand.Rand
-	mu    sync.Mutex
-	nodes map[string]*standin.PlatformNode
-	hosts map[string]standin.Host
-	all   []*standin.Agent
-	apis  []*standin.ReleaseAPI
-	state standin.Release
-	next  int
-	dice  sync.Mutex
-	hung  atomic.Int32 // processes whose end nodes hang through
+	run     *run
+	rnd     *rand.Rand
+	mu      sync.Mutex
+	nodes   map[string]*standin.PlatformNode
+	hosts   map[string]standin.Host
+	all     []*standin.Agent
+	apis    []*standin.ReleaseAPI
+	proxies []*faults.Proxy
+	state   standin.Release
+	next    int
+	dice    sync.Mutex
+	hung    atomic.Int32 // processes whose end nodes hang through
 }
 
 const firstBuild = 7
@@ -54,12 +56,30 @@
 	if err := n.Start("127.0.0.1:0"); err != nil {
 		return err
 	}
-	h := standin.Host{Name: fmt.Sprintf("s-%d", w.next), Number: n.ID, Address: n.Address(), Site: site, Zone: zone, Health: standin.InService, Build: build}
+	address, err := w.through(n.Address(), true)
+	if err != nil {
+		return err
+	}
+	h := standin.Host{Name: fmt.Sprintf("s-%d", w.next), Number: n.ID, Address: address, Site: site, Zone: zone, Health: standin.InService, Build: build}
 	w.nodes[h.Name] = n
 	w.set(h)
 	return nil
 }
 
+// through puts a proxy that spoils connections before an address, where the plan has it so; w.mu is held. The watch and the news may only
+// break: what is written there counts as told, however late it comes.
+func (w *world) through(address string, late bool) (string, error) {
+	if w.run.plan.Spoilt == 0 {
+		return address, nil
+	}
+	p := &faults.Proxy{To: address, Trouble: w.run.plan.Spoilt, Late: late, Seed: w.run.plan.Seed + uint64(len(w.proxies))<<32}
+	address, err := p.Start()
+	if err == nil {
+		w.proxies = append(w.proxies, p)
+	}
+	return address, err
+}
+
 // set tells a change; w.mu is held.
 func (w *world) set(h standin.Host) {
 	w.hosts[h.Name] = h
@@ -100,6 +120,13 @@
 	if err := api.Start("127.0.0.1:0", w.state); err != nil {
 		return nil, nil, err
 	}
+	var err error
+	if m.agentAddress, err = w.through(a.Address(), false); err != nil {
+		return nil, nil, err
+	}
+	if m.apiAddress, err = w.through(api.Address(), false); err != nil {
+		return nil, nil, err
+	}
 	w.all, w.apis = append(w.all, a), append(w.apis, api)
 	return a, api, nil
 }
@@ -133,4 +160,7 @@
 	for _, n := range w.nodes {
 		n.Kill()
 	}
+	for _, p := range w.proxies {
+		p.Close()
+	}
 }
