The grace of a draining node covers a marshal that is held up before it writes

Callers would see: a request reaches a node 0.1 s after the grace that runs from the word that it drains (the rule on drains).

Change: the last look allows it until 0.15 s before the grace is over.

--- a/internal/serve/scarce_test.go
+++ b/internal/serve/scarce_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"arrowcleat/balance"
 	"arrowcleat/internal/settings"
 )
 
@@ -147,3 +148,62 @@
 	}
 	queued.expect("503 not-taken")
 }
+
+// heldUpConn is a connection whose writer is held up between its last look at the clock and the write.
+type heldUpConn struct {
+	*net.TCPConn
+	by time.Duration
+}
+
+func (c heldUpConn) Write(b []byte) (int, error) {
+	time.Sleep(c.by)
+	return c.TCPConn.Write(b)
+}
+
+// A dispatch decided on before the word that its node drains is about to be written just before the grace is over, and the marshal is held
+// up for 0.15 s between its look and the write. It reached the node 0.1 s after the grace.
+func TestHeldUpBeforeADrainingNodeIsWrittenTo(t *testing.T) {
+	const heldUp, grace = 150 * time.Millisecond, 300 * time.Millisecond
+	comesUp := make(chan struct{})
+	r := start(t, 0, ok, func(s *settings.Settings) {
+		s.Rules.GraceMs = float64(grace.Milliseconds())
+		s.Times.DialMs, s.Operation[0].LimitMs = 2000, 2000
+	}, rigHooks{Hooks: Hooks{Connect: func(ctx context.Context, network, address string) (net.Conn, error) {
+		nc, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		<-comesUp
+		return heldUpConn{nc.(*net.TCPConn), heldUp}, nil
+	}}})
+	got := make(chan time.Time, 1)
+	node, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer node.Close()
+	go func() {
+		if nc, err := node.Accept(); err == nil {
+			defer nc.Close()
+			if _, err := nc.Read(make([]byte, 1)); err == nil {
+				got <- time.Now()
+			}
+		}
+	}()
+	r.list(9, node.Addr().String(), balance.Serving)
+	r.until("it is known", func() bool { l, _ := r.m.Look(); return len(l.Nodes) == 1 })
+	c := r.client()
+	c.send(get, "look")
+	r.until("it is on its way", func() bool { l, _ := r.m.Look(); return l.Dispatches == 1 })
+	told := time.Now()
+	r.list(9, node.Addr().String(), balance.Draining)
+	time.Sleep(grace - 50*time.Millisecond)
+	close(comesUp)
+	select {
+	case at := <-got:
+		if late := at.Sub(told); late > grace {
+			t.Errorf("the node got a request %v after the word that it drains; the grace is %v", late, grace)
+		}
+	case <-time.After(2 * heldUp):
+	}
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -595,6 +595,9 @@
 	return g.read(lines)
 }
 
+// heldUp is how long a process may be held up between a look at its clock and a write. The grace of a node that drains covers it.
+const heldUp = 150 * time.Millisecond
+
 // read makes nodes of lines, and opens and shuts what is kept for their addresses.
 func (g *group) read(lines []control.Line) ([]balance.Node, []string) {
 	for _, line := range lines {
@@ -603,7 +606,7 @@
 		} else if line.Health == balance.Serving {
 			g.m.pool.Shut(line.Address, 0)
 		} else if !g.list.other(line) {
-			g.m.pool.Shut(line.Address, dur(g.set.Rules.GraceMs))
+			g.m.pool.Shut(line.Address, max(0, dur(g.set.Rules.GraceMs)-heldUp))
 		}
 		if line.Health == balance.Gone {
 			g.m.pool.Drop(line.Address)
