A log that nobody reads neither holds the process up nor ends it

Found while looking for what else may hold up a stop. Callers would see: a process that hears no TERM until KILL, or one that is gone at its next log line with all that it had taken.

Cause: log lines were written to standard error by whoever logged, under one lock. A full pipe held up the goroutine that takes signals, and with it the loop; a pipe whose reader is gone ended the process by SIGPIPE.

Change: a goroutine of its own writes the lines, up to 512 wait, further ones are dropped and counted; SIGPIPE is ignored; an end waits 0.1 s at most for the last lines.

--- a/cmd/arrowcleat/main.go
+++ b/cmd/arrowcleat/main.go
@@ -11,9 +11,11 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
+	"arrowcleat/internal/logsink"
 	"arrowcleat/internal/settings"
 )
 
@@ -105,6 +107,17 @@
 	return slog.New(slog.NewTextHandler(out, options))
 }
 
+// flushWithin is how long a process that ends waits for its last log lines to be written.
+const flushWithin = 100 * time.Millisecond
+
+// serviceLog is the log of a process in service, on standard error: it neither waits for whoever reads it nor ends with them. flush has the
+// lines so far written.
+func serviceLog(l *settings.Log, level *slog.LevelVar) (log *slog.Logger, flush func()) {
+	signal.Ignore(syscall.SIGPIPE) // else a line that nobody can read any more ends the process
+	out := logsink.New(os.Stderr)
+	return logger(out, l, level), func() { out.Flush(flushWithin) }
+}
+
 // signals gives what operators send: TERM and INT to stop, USR1 for more of the log, USR2 for less.
 func signals(level *slog.LevelVar, log *slog.Logger) (stop chan os.Signal, done func()) {
 	stop, levels := make(chan os.Signal, 2), make(chan os.Signal, 2)
--- a/cmd/arrowcleat/platform.go
+++ b/cmd/arrowcleat/platform.go
@@ -64,7 +64,8 @@
 		return badInput{fmt.Errorf("--log: %q is no level", level)}
 	}
 	c.Set.Log.Level = level
-	log := logger(os.Stderr, c.Set.Log, &at)
+	log, flush := serviceLog(c.Set.Log, &at)
+	defer flush()
 	for _, text := range c.Differs {
 		log.Warn("the environment differs", "what", text)
 	}
--- a/cmd/arrowcleat/platform_test.go
+++ b/cmd/arrowcleat/platform_test.go
@@ -19,6 +19,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"arrowcleat/internal/loopback"
 )
 
@@ -428,3 +430,68 @@
 		t.Errorf("it complained %d times:\n%s", n, p.log.String())
 	}
 }
+
+// Nobody reads the log, and its pipe is full; or whoever read it has gone. The process went with it: a full pipe held up the goroutine that
+// takes signals, so that TERM did nothing until KILL; a closed one ended the process at its next line (SIGPIPE).
+func TestLogThatNobodyReads(t *testing.T) {
+	const pipeSize = 4096
+	for name, gone := range map[string]bool{"full": false, "gone": true} {
+		t.Run(name, func(t *testing.T) {
+			node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "fine") }))
+			defer node.Close()
+			list, _ := follow(t, fmt.Sprintf(`{"seq":1,"whole":true,"hosts":[{"host":"a","dial":%q,"site":"here","health":"in_service","build":7}]}`,
+				node.Listener.Addr()))
+			api, _ := follow(t, "{}\n")
+			reader, writer, err := os.Pipe()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer reader.Close()
+			if _, err := unix.FcntlInt(writer.Fd(), unix.F_SETPIPE_SZ, pipeSize); err != nil {
+				t.Fatal(err)
+			}
+			command := exec.Command("/bin/sh", "-c", `exec "$0" platform --log debug 2>&3`, os.Args[0])
+			command.ExtraFiles = []*os.File{writer}
+			p := runAs(t, command, func(address string) string { return fmt.Sprintf(configuration, address, list, api) })
+			writer.Close()
+			if gone {
+				reader.Close()
+			}
+			ask := func(id int) error {
+				q, _ := http.NewRequest("GET", "http://"+p.address+"/look", nil)
+				q.Header, q.Close = http.Header{"X-Trace-Id": {fmt.Sprint(id)}, "X-Qos": {"look"}}, true
+				r, err := (&http.Client{Timeout: 2 * time.Second}).Do(q)
+				if err != nil {
+					return err
+				}
+				r.Body.Close()
+				if r.StatusCode != http.StatusOK {
+					return errors.New(r.Status)
+				}
+				return nil
+			}
+			for i := range 100 { // each connection that closes is a line
+				if err := ask(i); err != nil {
+					t.Fatalf("request %d: %v", i, err)
+				}
+			}
+			time.Sleep(1500 * time.Millisecond) // a view is due each second
+			if err := ask(100); err != nil {
+				t.Error(err)
+			}
+			p.Process.Signal(syscall.SIGTERM)
+			ended := make(chan error, 1)
+			go func() { ended <- p.Wait() }()
+			select {
+			case err := <-ended:
+				if err != nil {
+					t.Error(err)
+				}
+			case <-time.After(3 * time.Second):
+				t.Error("TERM does nothing")
+				p.Process.Kill()
+				<-ended
+			}
+		})
+	}
+}
--- a/cmd/arrowcleat/serve.go
+++ b/cmd/arrowcleat/serve.go
@@ -62,7 +62,8 @@
 
 func runMarshal(set *settings.Settings, path string) error {
 	var level slog.LevelVar
-	log := logger(os.Stderr, set.Log, &level)
+	log, flush := serviceLog(set.Log, &level)
+	defer flush()
 	stop, done := signals(&level, log)
 	defer done()
 	m, err := serve.Start(set, log, serve.Hooks{})
