A client that only ends its sending is told that its request was given up

A client that half-closes and reads on saw a request read and closed with no answer.

Change: where nothing has been answered, a last answer, terminated, is written before the close; a client that has gone never sees it. What begins for such a client is as before: nothing.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -135,8 +135,9 @@
 		keep = false
 	}
 	switch {
-	case c.life.owed():
+	case c.life.owed(): // the client has gone, or has only ended its sending: then this reaches it
 		c.s.Counts.Left.Add(1)
+		c.plain(502, Terminated, "given up: the connection was closed", closeGone)
 		ends = closeGone
 	case !keep:
 		c.s.Counts.Answered.Add(1)
--- a/internal/serve/leave_test.go
+++ b/internal/serve/leave_test.go
@@ -307,3 +307,22 @@
 		t.Errorf("%d requests reached the build after its cap had fallen; %d may", n, most)
 	}
 }
+
+// A client that ends its sending and still reads is taken for gone, since it can't be told from one that closes: nothing more begins for
+// it. Its request was read all the same and then closed without a word; it is told now that it was given up.
+func TestHalfClosedClientIsTold(t *testing.T) {
+	r := start(t, 1, func(r *rig, c net.Conn, b *bufio.Reader) {
+		if _, _, whole := r.request(b); whole {
+			b.ReadByte() // until it is given up
+		}
+	}, nil, rigHooks{})
+	c := r.client()
+	c.send("POST /once HTTP/1.1\nHost: x\nContent-Length: 2\n\nab")
+	r.until("the node has it", func() bool { return r.got() == 1 })
+	c.Conn.(*net.TCPConn).CloseWrite()
+	c.expect("502 terminated")
+	r.until("all is over", func() bool { l, _ := r.m.Look(); return l.Open == 0 && l.Lapsed == 1 })
+	if n := r.m.Front.Counts.Left.Load(); n != 1 {
+		t.Errorf("%d requests counted as left", n)
+	}
+}
