--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"time"
 )
 
 // MostTold is the most bytes of text in one message between marshals.
@@ -42,6 +43,9 @@
 	Bad    func(err error)
 }
 
+// receiveAgain is the wait after a receive that failed: one that goes on failing must not take the processor.
+const receiveAgain = time.Millisecond
+
 // Run receives until the socket is closed. Who a message is from must be a known peer.
 func (p *Peers) Run() {
 	b := make([]byte, len(magic)+32+MostTold+1)
@@ -51,6 +55,7 @@
 			return
 		}
 		if err != nil {
+			time.Sleep(receiveAgain)
 			continue // an earlier message found nobody
 		}
 		from, text, err := ParseTold(b[:n])
--- a/internal/platform/peers.go
+++ b/internal/platform/peers.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"time"
 
 	"arrowcleat/balance"
 )
@@ -51,6 +52,9 @@
 	return p, nil
 }
 
+// receiveAgain is the wait after a receive that failed: one that goes on failing must not take the processor.
+const receiveAgain = time.Millisecond
+
 // Run receives until the socket is closed; what is from no peer is dropped.
 func (p *Peers) Run() {
 	b := make([]byte, mostDatagram+1)
@@ -59,8 +63,12 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			time.Sleep(receiveAgain)
+			continue
+		}
 		number, known := p.from[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
-		if err == nil && known && n <= mostDatagram {
+		if known && n <= mostDatagram {
 			p.told(number, string(b[:n]))
 		}
 	}
