--- a/internal/back/socket.go
+++ b/internal/back/socket.go
@@ -28,12 +28,15 @@
 
 // onSocket does something with a connection's descriptor, if it has one.
 func onSocket(nc net.Conn, f func(fd uintptr)) {
-	s, ok := nc.(syscall.Conn)
-	if !ok {
-		return
-	}
-	if raw, err := s.SyscallConn(); err == nil {
-		raw.Control(f) // it fails on a closed connection, which has nothing more to tell
+	// Control fails on a closed connection, which has nothing more to tell.
+	if t, ok := nc.(*net.TCPConn); ok { // by its type, it needs no allocation
+		if raw, err := t.SyscallConn(); err == nil {
+			raw.Control(f)
+		}
+	} else if s, ok := nc.(syscall.Conn); ok {
+		if raw, err := s.SyscallConn(); err == nil {
+			raw.Control(f)
+		}
 	}
 }
 
--- a/internal/marshal/guard.go
+++ b/internal/marshal/guard.go
@@ -36,8 +36,8 @@
 
 // attempt is one that may have run.
 type attempt struct {
-	node   balance.Node
-	sentMs float64
+	zone, cell int // of its node
+	sentMs     float64
 }
 
 // NeverRan says that an ending proves that nothing ran.
@@ -57,7 +57,7 @@
 func (c *Core) mayRepeat(inv *invocation, node balance.Node) bool {
 	rule, now := c.rule(inv), c.out.Now()
 	for _, earlier := range inv.ran {
-		if !rule.Free && (now-earlier.sentMs > rule.WithinMs || !rule.Group.holds(earlier.node, node)) {
+		if !rule.Free && (now-earlier.sentMs > rule.WithinMs || !rule.Group.holds(earlier, node)) {
 			return false
 		}
 	}
@@ -70,15 +70,15 @@
 	return len(inv.ran) == 0 || rule.Free || rule.Group == AllNodes
 }
 
-// holds says that one node drops what the other has had.
-func (g Group) holds(a, b balance.Node) bool {
+// holds says that a node drops a repeat of an attempt.
+func (g Group) holds(earlier attempt, node balance.Node) bool {
 	switch g {
 	case AllNodes:
 		return true
 	case SameZone:
-		return a.Zone == b.Zone
+		return earlier.zone == node.Zone
 	case SameCell:
-		return a.Zone == b.Zone && a.Cell == b.Cell
+		return earlier.zone == node.Zone && earlier.cell == node.Cell
 	default:
 		return false
 	}
--- a/internal/marshal/marshal.go
+++ b/internal/marshal/marshal.go
@@ -116,7 +116,7 @@
 		return
 	}
 	inv.open--
-	if !NeverRan(how) && no == inv.lastNo {
+	if !done && !NeverRan(how) && no == inv.lastNo {
 		inv.ran = append(inv.ran, inv.last)
 	}
 	if n := c.nodes[inv.node]; n != nil {
@@ -283,7 +283,7 @@
 	if no > 0 {
 		c.log.Debug("dispatch repeated", "inv", id, "no", no, "node", node, "may_have_run", len(inv.ran))
 	}
-	inv.node, inv.lastNo, inv.last = node, no, attempt{to.Node, c.out.Now()}
+	inv.node, inv.lastNo, inv.last = node, no, attempt{to.Zone, to.Cell, c.out.Now()}
 	c.record.Dispatches++
 	to.Sent++
 	to.LastSent = c.out.Now()
