--- a/internal/platform/roster.go
+++ b/internal/platform/roster.go
@@ -220,6 +220,7 @@
 		return fmt.Errorf("discovery: changes up to %d where %d was had: the whole list is due", seq, r.seq)
 	}
 	r.had, r.seq = true, seq
+	r.Log.Debug("list taken", "seq", seq, "whole", whole, "hosts", len(lines))
 	r.Listed(whole, lines)
 	return nil
 }
--- a/internal/soak/life.go
+++ b/internal/soak/life.go
@@ -47,6 +47,10 @@
 		return nil, err
 	}
 	defer log.Close()
+	if number > 0 { // what they still wrote to the process before would count as told to this one
+		m.agent.Close()
+		m.api.Close()
+	}
 	if err := m.move(); err != nil {
 		return nil, err
 	}
@@ -315,14 +319,20 @@
 // viewEvery is how often a marshal logs its view.
 const viewEvery = time.Second
 
+// steadyFor is for how long what a process holds has to stay the same to be what it holds at rest: longer than a stream that broke takes to
+// be open again.
+const steadyFor = 100 * time.Millisecond
+
 // atRest is what the process holds before anybody has asked it.
-func (r *lifeRun) atRest() (holds, error) {
-	for end := time.Now().Add(3 * viewEvery); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		if h, views, err := r.holding(0); err != nil || views > 0 {
+func (r *lifeRun) atRest() (rest holds, err error) {
+	for end := time.Now().Add(3 * viewEvery); time.Now().Before(end); time.Sleep(steadyFor) {
+		h, views, err := r.holding(0)
+		if err != nil || views > 0 && h == rest {
 			return h, err
 		}
+		rest = h
 	}
-	return holds{}, errors.New("it logs no view")
+	return holds{}, errors.New("it logs no view, or what it holds does not stay the same")
 }
 
 // leftOver looks whether the process holds more than at rest, once connections to nodes have had their time.
