logsink counts its waiting lines by itself; process tests read a log while it is written

TestStuckDestination: Flush waited on a WaitGroup while further lines were added to it, which the runtime forbids and may panic on. TestReloadInBadMoments: the test read the process's log buffer while it was written.

Change: an atomic count in place of the WaitGroup; a locked buffer.

--- a/cmd/arrowcleat/platform_test.go
+++ b/cmd/arrowcleat/platform_test.go
@@ -113,10 +113,28 @@
 type program struct {
 	*exec.Cmd
 	t             *testing.T
-	log           bytes.Buffer
+	log           processLog
 	file, address string
 }
 
+// processLog is what a process has logged so far; it may be read while the process runs.
+type processLog struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *processLog) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *processLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
 // run starts a marshal and waits until it serves.
 func run(t *testing.T, configured func(address string) string) *program {
 	t.Helper()
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -4,7 +4,6 @@
 import (
 	"fmt"
 	"io"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -16,7 +15,7 @@
 type Writer struct {
 	out     io.Writer
 	lines   chan []byte
-	waiting sync.WaitGroup // lines that are not written yet
+	waiting atomic.Int64 // lines that are not written yet
 	dropped atomic.Int64
 }
 
@@ -33,7 +32,7 @@
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
-		w.waiting.Done()
+		w.waiting.Add(-1)
 		w.dropped.Add(1)
 	}
 	return len(line), nil
@@ -45,16 +44,16 @@
 			fmt.Fprintf(w.out, "time=%s level=WARN msg=\"log lines dropped\" count=%d\n", time.Now().UTC().Format(time.RFC3339Nano), n)
 		}
 		w.out.Write(line) // there is nobody to tell that it failed
-		w.waiting.Done()
+		w.waiting.Add(-1)
 	}
 }
 
+// flushEvery is between two looks whether all lines are written.
+const flushEvery = time.Millisecond
+
 // Flush waits until all lines are written, but for no longer than within.
 func (w *Writer) Flush(within time.Duration) {
-	written := make(chan struct{})
-	go func() { w.waiting.Wait(); close(written) }()
-	select {
-	case <-written:
-	case <-time.After(within):
+	for end := time.Now().Add(within); w.waiting.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(flushEvery)
 	}
 }
