--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -10,6 +10,7 @@
 
 	"arrowcleat/balance"
 	"arrowcleat/internal/faults"
+	"arrowcleat/internal/loopback"
 	"arrowcleat/internal/standin"
 )
 
@@ -23,6 +24,7 @@
 	all     []*standin.Agent
 	apis    []*standin.ReleaseAPI
 	proxies []*faults.Proxy
+	owned   []*loopback.Reservation
 	state   standin.Release
 	next    int
 	dice    sync.Mutex
@@ -53,7 +55,12 @@
 		site = w.run.plan.Zones[zone]
 	}
 	n := &standin.PlatformNode{ID: uint32(w.next), Ver: build, Zone: zone, Idle: w.run.plan.Idle, Reply: w.reply, Seen: w.run.see}
-	if err := n.Start("127.0.0.1:0"); err != nil {
+	own, err := loopback.Reserve() // else its port may be another run's node's once it is killed
+	if err != nil {
+		return err
+	}
+	w.owned = append(w.owned, own)
+	if err := n.Start(own.At(loopback.RequestPort)); err != nil {
 		return err
 	}
 	address, err := w.through(n.Address(), true)
@@ -163,4 +170,7 @@
 	for _, p := range w.proxies {
 		p.Close()
 	}
+	for _, own := range w.owned {
+		own.Release()
+	}
 }
