Review, case 1: a path that holds a URL is altered on its way to the node

Looked at: what changes in a request between client and node (internal/front/options.go, splitAbsoluteTarget).

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,5 +1,5 @@
-// Command 1 plays a marshal that is killed and started again while discovery is down, and checks that each request that
-// the marshal's machine took after the start gets its final answer in time.
+// Command 1 plays clients whose paths hold a URL behind the class, and checks that nodes get each request as its client
+// sent it, and each client the answer that was made for its request.
 package main
 
 import (
@@ -8,7 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"sort"
+	"net/http"
 	"sync"
 	"time"
 
@@ -16,82 +16,106 @@
 )
 
 const (
-	outage      = 8 * time.Second        // of discovery: "discovery is down for 8 s"
-	down        = 350 * time.Millisecond // from the kill to the new process
-	frontNotice = 1200 * time.Millisecond
-	// A request that is answered later than its time and this is lost: half a second, and 50 ms that the protocol adds.
-	slack  = 550 * time.Millisecond
-	rounds = 3
+	clients = 8
+	each    = 100 // requests of a client
 )
 
-// class is a class of quay-permits.
-type class struct {
-	name     string
-	marked   bool
-	deadline time.Duration
-}
-
-var classes = []class{{"permit", false, 800 * time.Millisecond}, {"permit-issue", true, 650 * time.Millisecond}}
+// request is what a client sends of a request.
+type request struct{ method, path, body, mark string }
 
 // run is the state of the case.
 type run struct {
 	record  *rig.Record
 	marshal *rig.Marshal
-	clients sync.WaitGroup
 
-	mu           sync.Mutex
-	n            int
-	taken, after int // requests taken by a running marshal; of them those between a new start and ready
-	lost         []string
+	mu                    sync.Mutex
+	sent                  map[string]request // by id
+	served, failed, other int
+	broken                []string
 }
 
-// send opens a connection, sends one request on it and judges the answer. A refused connection has taken nothing.
-func (r *run) send(restarting bool) {
-	c := classes[0]
-	if rand.Float64() < 0.37 {
-		c = classes[1]
-	}
-	expires := time.Duration((0.4 + 0.6*rand.Float64()) * float64(c.deadline)).Truncate(time.Millisecond)
-	r.mu.Lock()
-	r.n++
-	id := fmt.Sprintf("%016x", r.n)
-	r.mu.Unlock()
-	nc, err := net.DialTimeout("tcp", r.marshal.Listen, time.Second)
-	if err != nil {
-		r.record.Line(time.Now(), "client %s: not connected: %v", id, err)
-		return
-	}
-	defer nc.Close()
-	if _, err := io.WriteString(nc, rig.Request(c.name, id, c.marked, expires)); err != nil {
-		r.record.Line(time.Now(), "client %s: not sent: %v", id, err)
-		return
-	}
-	sent := time.Now()
-	r.record.Line(sent, "client sent %s, %s, waits %v", id, c.name, expires)
-	a := rig.ReadAnswer(nc, bufio.NewReader(nc), sent.Add(4*time.Second))
-	took := a.At.Sub(sent)
-	r.record.Line(a.At, "client got for %s: %d, error %v, after %v", id, a.Status, a.Err, took.Round(time.Millisecond))
+// breaks notes that the rule was broken.
+func (r *run) breaks(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	r.record.Line(time.Now(), "BROKEN %s", text)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.taken++
-	if restarting {
-		r.after++
-	}
-	switch {
-	case a.Err != nil:
-		r.lost = append(r.lost, fmt.Sprintf("%s (%s, %v): no answer: %v after %v", id, c.name, expires, a.Err, took))
-	case took > expires+slack:
-		r.lost = append(r.lost, fmt.Sprintf("%s (%s): answered %d after %v, which is %v after its time of %v", id, c.name,
-			a.Status, took.Round(time.Millisecond), (took-expires).Round(time.Millisecond), expires))
-	case a.Status == 200 && a.Body != rig.Body(id):
-		r.lost = append(r.lost, fmt.Sprintf("%s: a body that was not made for it: %q", id, a.Body))
+	r.broken = append(r.broken, text)
+}
+
+// made returns the body of a node's answer, which names what the node was asked for. A node that gets what no client sent
+// in this form answers it all the same, so that it can be seen what the client gets.
+func (r *run) made(q *http.Request, body string) string {
+	id := q.Header.Get("X-Trace-Id")
+	got := request{q.Method, q.RequestURI, body, q.Header.Get("Idempotency-Key")}
+	r.mu.Lock()
+	sent, ok := r.sent[id]
+	r.mu.Unlock()
+	if !ok || got != sent {
+		r.breaks("a node got %s %s as %s, which its client sent as %s %s", got.method, got.path, id, sent.method, sent.path)
 	}
+	return answerTo(got.method, got.path, id)
+}
+
+// answerTo returns the body that nodes make for a request.
+func answerTo(method, path, id string) string {
+	return fmt.Sprintf("%s of %s, made for %s", method, path, id)
 }
 
-// load sends requests, 200 a second at most, for a time.
-func (r *run) load(d time.Duration, restarting bool) {
-	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		r.clients.Go(func() { r.send(restarting) })
+// client sends requests on one connection.
+func (r *run) client(number int) {
+	nc, err := net.Dial("tcp", r.marshal.Listen)
+	if err != nil {
+		r.record.Line(time.Now(), "client %d: not connected: %v", number, err)
+		return
+	}
+	defer func() { nc.Close() }()
+	b := bufio.NewReader(nc)
+	for i := range each {
+		id := fmt.Sprintf("%08x%08x", number, i)
+		class, marked, method := "permit", false, "GET"
+		if i%3 == 0 {
+			class, marked, method = "permit-issue", true, "POST"
+		}
+		path := fmt.Sprintf("/%s/%d", class, rand.IntN(1000))
+		if i%5 == 0 { // a permit of another registry, named by its URL
+			path = fmt.Sprintf("/%s/registry.example/%s/%d", class, class, rand.IntN(1000))
+			if rig.Trouble() {
+				path = fmt.Sprintf("/%s/https://registry.example/%s/%d", class, class, rand.IntN(1000))
+			}
+		}
+		text := rig.RequestAt(path, class, id, marked, 600*time.Millisecond)
+		q := request{method: method, path: path}
+		if marked {
+			q.body, q.mark = "0123456789abcdef", "k"+id
+		}
+		r.mu.Lock()
+		r.sent[id] = q
+		r.mu.Unlock()
+		r.record.Line(time.Now(), "client sent %s: %s %s", id, method, path)
+		if _, err := io.WriteString(nc, text); err != nil {
+			r.record.Line(time.Now(), "client %d: not sent: %v", number, err)
+			return
+		}
+		a := rig.ReadAnswer(nc, b, time.Now().Add(3*time.Second))
+		r.record.Line(a.At, "client got for %s: %d %q, error %v", id, a.Status, a.Body, a.Err)
+		r.mu.Lock()
+		switch {
+		case a.Status == 200:
+			r.served++
+		case a.Status >= 400 && a.Status != 429 && a.Status != 503:
+			r.failed++
+		default:
+			r.other++
+		}
+		r.mu.Unlock()
+		if a.Status == 200 && a.Body != answerTo(method, path, id) {
+			r.breaks("the client of %s %s was served %q", method, path, a.Body)
+		}
+		if a.Err != nil {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
 	}
 }
 
@@ -101,9 +125,10 @@
 		return rig.NotRun, err
 	}
 	defer record.Close()
+	r := &run{record: record, sent: map[string]request{}}
 	discovery, api := &rig.Discovery{}, &rig.ReleaseAPI{}
 	for i := range 8 {
-		n := &rig.Node{Name: fmt.Sprintf("s-%d", i), Record: record,
+		n := &rig.Node{Name: fmt.Sprintf("s-%d", i), Record: record, Made: r.made,
 			Work: func() time.Duration { return time.Duration(18+rand.IntN(14)) * time.Millisecond }}
 		if err := n.Start("127.0.0.1:0"); err != nil {
 			return rig.NotRun, err
@@ -117,7 +142,6 @@
 	if err := api.Start(); err != nil {
 		return rig.NotRun, err
 	}
-	r := &run{record: record}
 	if r.marshal, err = rig.NewMarshal(root, record, discovery.Address(), api.Address(), discovery.List(),
 		rig.QuayPermits); err != nil {
 		return rig.NotRun, err
@@ -129,44 +153,23 @@
 	if err := r.marshal.Ready(10 * time.Second); err != nil {
 		return rig.NotRun, err
 	}
-	for range rounds {
-		r.load(2*time.Second, false)
-		r.clients.Wait()
-		down0 := time.Now()
-		if rig.Trouble() {
-			record.Line(down0, "discovery is down")
-			discovery.SetSilent(true)
-		}
-		time.Sleep(time.Second)
-		r.marshal.Kill()
-		killed := time.Now()
-		time.Sleep(down)
-		if err := r.marshal.Start(); err != nil {
-			return rig.NotRun, err
-		}
-		// The front has not noticed yet that the marshal was dead.
-		r.load(time.Until(killed.Add(frontNotice)), true)
-		if err := r.marshal.Ready(10 * time.Second); err != nil {
-			return rig.NotRun, err
-		}
-		r.load(2*time.Second, false)
-		r.clients.Wait()
-		time.Sleep(time.Until(down0.Add(outage)))
-		if rig.Trouble() {
-			record.Line(time.Now(), "discovery is back")
-			discovery.SetSilent(false)
-		}
-		time.Sleep(time.Second)
+	var all sync.WaitGroup
+	for i := range clients {
+		all.Go(func() { r.client(i) })
 	}
-	sort.Strings(r.lost)
-	for _, text := range r.lost {
-		record.Line(time.Now(), "LOST %s", text)
-		fmt.Println("lost:", text)
+	all.Wait()
+	for _, text := range r.broken[:min(len(r.broken), 6)] {
+		fmt.Println("broken:", text)
 	}
-	fmt.Printf("%d requests taken, %d of them between a start and ready; %d lost\n", r.taken, r.after, len(r.lost))
-	record.Line(time.Now(), "%d requests taken, %d of them between a start and ready; %d lost", r.taken, r.after, len(r.lost))
-	if len(r.lost) > 0 {
+	summary := fmt.Sprintf("%d requests sent, %d served, %d failed, %d other; the rule broken %d times", len(r.sent), r.served,
+		r.failed, r.other, len(r.broken))
+	fmt.Println(summary)
+	record.Line(time.Now(), "%s", summary)
+	switch {
+	case len(r.broken) > 0:
 		return rig.Broken, nil
+	case r.served < len(r.sent)/2:
+		return rig.NotRun, fmt.Errorf("too little was served to judge")
 	}
 	return rig.Held, nil
 }
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -208,8 +208,8 @@
 	Work   func() time.Duration
 	// Got is called with each request that has arrived whole.
 	Got func(id string, at time.Time)
-	// Second returns after which time a second copy of an answer follows it; 0 for none.
-	Second func() time.Duration
+	// Made returns the body of the answer to a request; nil: Body.
+	Made func(q *http.Request, body string) string
 
 	ln net.Listener
 }
@@ -245,31 +245,27 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+		body, err := io.ReadAll(q.Body)
+		if err != nil {
 			return
 		}
 		now := time.Now()
 		id := q.Header.Get("X-Trace-Id")
-		n.Record.Line(now, "node %s got %s, told %s ms", n.Name, id, q.Header.Get("X-Expires-In-Ms"))
+		n.Record.Line(now, "node %s got %s: %s %s, host %s, told %s ms", n.Name, id, q.Method, q.RequestURI, q.Host,
+			q.Header.Get("X-Expires-In-Ms"))
 		if n.Got != nil {
 			n.Got(id, now)
 		}
 		time.Sleep(n.Work())
-		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(Body(id)), Body(id))
+		made := Body(id)
+		if n.Made != nil {
+			made = n.Made(q, string(body))
+		}
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(made), made)
 		if _, err := io.WriteString(c, answer); err != nil {
 			return
 		}
 		n.Record.Line(time.Now(), "node %s answered %s", n.Name, id)
-		if n.Second == nil {
-			continue
-		}
-		if after := n.Second(); after > 0 {
-			time.Sleep(after)
-			if _, err := io.WriteString(c, answer); err != nil {
-				return
-			}
-			n.Record.Line(time.Now(), "node %s wrote the second copy of the answer to %s", n.Name, id)
-		}
 	}
 }
 
@@ -436,12 +432,17 @@
 
 // Request returns the text of a request of a class. For a class with a mark the method is POST, and there is a body.
 func Request(class, id string, marked bool, expires time.Duration) string {
+	return RequestAt("/"+class, class, id, marked, expires)
+}
+
+// RequestAt is Request with a path.
+func RequestAt(path, class, id string, marked bool, expires time.Duration) string {
 	method, rest := "GET", "\r\n"
 	if marked {
 		method, rest = "POST", "Idempotency-Key: k"+id+"\r\nContent-Length: 16\r\n\r\n0123456789abcdef"
 	}
-	return fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: service.internal\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Customer: t1\r\n"+
-		"X-Object: o%s\r\nX-Expires-In-Ms: %d\r\n%s", method, class, id, class, id, expires.Milliseconds(), rest)
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: service.internal\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Customer: t1\r\n"+
+		"X-Object: o%s\r\nX-Expires-In-Ms: %d\r\n%s", method, path, id, class, id, expires.Milliseconds(), rest)
 }
 
 // started holds the processes that were started and have not ended.
