--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -208,6 +208,8 @@
 	Work   func() time.Duration
 	// Got is called with each request that has arrived whole.
 	Got func(id string, at time.Time)
+	// Second returns after which time a second copy of an answer follows it; 0 for none. nil: never.
+	Second func() time.Duration
 	// Made returns the body of the answer to a request; nil: Body.
 	Made func(q *http.Request, body string) string
 
@@ -266,6 +268,17 @@
 			return
 		}
 		n.Record.Line(time.Now(), "node %s answered %s", n.Name, id)
+		if n.Second == nil {
+			continue
+		}
+		// A second copy comes only when nothing else waits on the connection.
+		if after := n.Second(); after > 0 && b.Buffered() == 0 {
+			time.Sleep(after)
+			if _, err := io.WriteString(c, answer); err != nil {
+				return
+			}
+			n.Record.Line(time.Now(), "node %s wrote the second copy of the answer to %s", n.Name, id)
+		}
 	}
 }
 
