--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -309,7 +309,7 @@
 	if m.Listen, err = freeAddress(); err != nil {
 		return nil, err
 	}
-	if m.dir, err = os.MkdirTemp("", "arrowcleat-review-"); err != nil {
+	if m.dir, err = TempDir(); err != nil {
 		return nil, err
 	}
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
@@ -353,7 +353,7 @@
 	}
 	m.Record.Line(time.Now(), "marshal process %d started", m.lives)
 	cmd, exited := m.cmd, make(chan struct{})
-	started.Store(cmd.Process, true)
+	Track(cmd.Process)
 	m.exited = exited
 	go func() {
 		cmd.Wait()
@@ -458,8 +458,20 @@
 		"X-Object: o%s\r\nX-Expires-In-Ms: %d\r\n%s", method, path, id, class, id, expires.Milliseconds(), rest)
 }
 
-// started holds the processes that were started and have not ended.
-var started sync.Map // *os.Process -> true
+// started holds the processes that were started and have not ended, temporary the folders that were made.
+var started, temporary sync.Map // *os.Process, path -> true
+
+// Track has a process that was started ended with the case.
+func Track(p *os.Process) { started.Store(p, true) }
+
+// TempDir makes a temporary folder, which is removed with the end of the case.
+func TempDir() (string, error) {
+	dir, err := os.MkdirTemp("", "arrowcleat-review-")
+	if err == nil {
+		temporary.Store(dir, true)
+	}
+	return dir, err
+}
 
 // Main runs a case and exits with its code. A case that takes too long, or is told to stop, could not run.
 func Main(play func(root, dir string) (code int, err error)) {
@@ -490,6 +502,10 @@
 		p.(*os.Process).Kill()
 		return true
 	})
+	temporary.Range(func(dir, _ any) bool {
+		os.RemoveAll(dir.(string))
+		return true
+	})
 	os.Exit(code)
 }
 
