front: a path that holds a URL passes on unchanged

Cause: splitAbsoluteTarget took any target with "://" before its query for absolute-form, and never looked whether it begins with a slash.

Change: h1.Head.ResolveTarget goes by the first byte. Origin-form stays as it is; absolute-form is an http or https URI with a host; "*" is for OPTIONS; all else gets 400 before anything is accepted. Related forms that were wrong by the same code: a health check in absolute-form was not known (404), OPTIONS for a whole server became "/", "http:///x" had an empty Host, "http://user@x/" passed user information on as a Host.

Why it works: an absolute URI can't begin with a slash, and origin-form always does (RFC 9112, 3.2.1 and 3.2.2).

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -140,6 +140,22 @@
 	}
 }
 
+// A health check in absolute-form is answered as one in origin-form; a target without a valid form is not.
+func TestHealthCheckTarget(t *testing.T) {
+	_, address := startServer(t, 20, ProtocolOptions{HealthPath: "/healthz", FirstRequestTimeoutMs: 1000})
+	for target, want := range map[string]int{"/healthz": 200, "http://y/healthz": 200, "/x/http://y/healthz": 404,
+		"http:///healthz": 400, "healthz": 400} {
+		nc, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if status, err := roundTrip(nc, "GET "+target+" HTTP/1.1\r\nHost: x\r\n\r\n"); status != want || err != nil {
+			t.Errorf("GET %s: status %d, error %v; want %d", target, status, err, want)
+		}
+		nc.Close()
+	}
+}
+
 // With protocol options, a body that is too long and a second request with an open id are rejected before they are accepted.
 func TestProtocolOptions(t *testing.T) {
 	s, address := startServer(t, 20, ProtocolOptions{MaxBodyBytes: 10, FirstRequestTimeoutMs: 1000,
--- a/internal/front/options.go
+++ b/internal/front/options.go
@@ -74,21 +74,6 @@
 		IsRetry: s.headerNames.retry != "" && h.Header.Get(s.headerNames.retry) != "", IsWrite: operation.Write}, nil
 }
 
-// splitAbsoluteTarget replaces a target in absolute form by its path, and the Host header by its authority.
-func splitAbsoluteTarget(h *h1.Head) {
-	path, _, _ := strings.Cut(h.Target, "?")
-	i := strings.Index(path, "://")
-	if i <= 0 {
-		return
-	}
-	host, _, _ := strings.Cut(path[i+3:], "/")
-	h.Header["Host"] = []string{host}
-	h.Target = h.Target[i+3+len(host):]
-	if len(path) == i+3+len(host) {
-		h.Target = "/" + h.Target
-	}
-}
-
 // claimID marks a request id as open; false means that it is open already.
 func (s *Server) claimID(id string) bool {
 	if id == "" {
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -84,11 +84,13 @@
 	x := &exchange{conn: c, head: h, startMs: req.startMs, closeAfter: h.Close}
 	defer x.resumeReader()
 	c.omitBody = h.Method == "HEAD"
+	if err := h.ResolveTarget(); err != nil {
+		return c.rejectUnreadable(err)
+	}
 	if s.Protocol.HealthPath != "" && h.Target == s.Protocol.HealthPath && h.Method == "GET" && h.BodyLength == 0 {
 		return c.writePlain(200, NotAccepted, "serving", x.requiredClose())
 	}
 	// Read operation, tenant, key, idempotency key and time limit from the head. Nothing has been accepted yet.
-	splitAbsoluteTarget(h)
 	params, err := c.readParams(h)
 	c.lastRequestID, x.requestID = params.RequestID, params.RequestID
 	required := x.requiredClose()
