front: a client's time runs from its request's arrival, not from the first byte read

Cause: conn.awaitRequest took the time at which the first byte was read for the start of the client's time. What the request had waited before that, in the accept queue or because the process was not scheduled, was given to it again. Excluded: the loop and its queue, whose delays count from that start. This measure stays: longest_unread in the log, and in /metrics.

Change: tcpstate.Socket.SinceLastData asks the kernel once a request; the age of the last data is taken off the start. Why it works: that data can't be older than the request's first byte, nor younger than its arrival; the kernel's monotonic ticks don't follow the wall clock, and one tick is taken off, so that no request gets less than its time. Without TCP_INFO all is as before.

--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -10,6 +10,7 @@
 	"arrowcleat/internal/back"
 	"arrowcleat/internal/connlimit"
 	"arrowcleat/internal/h1"
+	"arrowcleat/internal/tcpstate"
 )
 
 // Backoff between accepts while descriptors are exhausted, and how often that is logged. Nothing signals that a descriptor is
@@ -89,6 +90,7 @@
 	c := &conn{server: s, nc: nc, lifecycle: newLifecycle(nc, now, s.Clock.Now()), listener: listener,
 		reader: h1.NewReader(nc, readBufferBytes), requests: make(chan *request, 1), bodyRead: make(chan struct{}, 1),
 		commands: make(chan command, 16)}
+	c.socket, _ = tcpstate.NewSocket(nc) // nil for a connection of another kind
 	c.host, _, _ = splitHost(nc.RemoteAddr().String())
 	if s.Protocol.FirstRequestTimeoutMs > 0 {
 		c.lifecycle.firstDeadline = now.Add(ms(s.Protocol.FirstRequestTimeoutMs))
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -12,6 +12,7 @@
 
 	"arrowcleat/internal/back"
 	"arrowcleat/internal/h1"
+	"arrowcleat/internal/tcpstate"
 )
 
 // conn is the connection of one client. Its reader goroutine reads request heads and notices when the client disconnects; its
@@ -20,6 +21,7 @@
 type conn struct {
 	server        *Server
 	nc            net.Conn
+	socket        *tcpstate.Socket // nil if nc has none; used by the reader only
 	lifecycle     *lifecycle
 	listener      string      // name of the listener that accepted it
 	host          string      // the client's address without the port
@@ -43,7 +45,7 @@
 // request is what the reader hands to the worker: a head, or the error that took its place.
 type request struct {
 	head    *h1.Head
-	startMs float64 // when its first byte was read
+	startMs float64 // when it arrived; see conn.arrivalMs
 	err     error   // why there is no head
 }
 
@@ -80,12 +82,12 @@
 }
 
 // awaitRequest waits until the first byte of a request has been read and the previous request has its answer. It returns the
-// clock's time at which that byte was read, from which the client's time limit runs. False means that the connection closes.
+// clock's time at which the request arrived, from which the client's time limit runs. False means that the connection closes.
 func (c *conn) awaitRequest() (startMs float64, ok bool) {
 	for c.lifecycle.awaitRead(time.Now(), ms(c.server.CurrentSettings().Times.IdleMs)) {
 		_, err := c.reader.Peek(1)
 		if err == nil {
-			startMs = c.server.Clock.Now()
+			startMs = c.arrivalMs()
 			return startMs, c.lifecycle.beginRequest()
 		}
 		if !back.IsTimeout(err) {
@@ -96,6 +98,22 @@
 	return 0, false
 }
 
+// arrivalMs returns the clock's time at which the data that has just been read arrived at this machine. Until it was read it
+// may have waited in the accept queue, or because the process was not scheduled: that time is the client's too. Where the
+// kernel does not know, it is the current time.
+func (c *conn) arrivalMs() float64 {
+	nowMs := c.server.Clock.Now()
+	if c.socket == nil {
+		return nowMs
+	}
+	waited, err := c.socket.SinceLastData()
+	if err != nil || waited <= 0 {
+		return nowMs
+	}
+	c.server.Counters.noteUnread(waited)
+	return nowMs - float64(waited)/float64(time.Millisecond)
+}
+
 // setReadDeadline bounds the next read, for a first request also by the deadline for its arrival. An aborted server does not
 // wait at all.
 func (c *conn) setReadDeadline(timeoutMs float64) {
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -25,7 +25,7 @@
 	acceptedBy   atomic.Int32 // the core that accepted it plus 1, 0 for none
 	clientGone   atomic.Bool  // the client has disconnected
 	head         *h1.Head
-	startMs      float64 // when its first byte was read
+	startMs      float64 // when it arrived
 	limitMs      float64 // the client's time limit, from startMs
 	deadlineMs   float64 // when its time limit is over, less a reserve for the answer
 	answerByMs   float64 // when the connection answers without the module
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -88,6 +88,7 @@
 	RequestsRead         atomic.Int64                   // requests read, including malformed ones
 	Answered             atomic.Int64                   // requests whose final answer was begun
 	ClientsGone          atomic.Int64                   // requests whose client had disconnected before the answer
+	LongestUnread        atomic.Int64                   // the longest time, as a time.Duration, that a request waited unread
 	SuppressedDispatches atomic.Int64                   // dispatches suppressed by the final check before writing
 	Closed               [closeReasonCount]atomic.Int64 // connections closed, by reason
 
@@ -101,10 +102,21 @@
 	return slog.GroupValue(slog.Int64("connections", c.Connections.Load()), slog.Int64("turned_away", c.Rejected.Load()),
 		slog.Int64("malformed", c.Malformed.Load()), slog.Int64("read", c.RequestsRead.Load()),
 		slog.Int64("answered", c.Answered.Load()), slog.Int64("left", c.ClientsGone.Load()),
+		slog.Duration("longest_unread", time.Duration(c.LongestUnread.Load())),
 		slog.Int64("held_back", c.SuppressedDispatches.Load()), slog.Int64("unanswered", c.Unanswered.Load()),
 		slog.Int64("second_answers", c.SecondAnswers.Load()), slog.String("closed", fmt.Sprint(c.ClosedByReason())))
 }
 
+// noteUnread records that a request waited unread.
+func (c *Counters) noteUnread(waited time.Duration) {
+	for {
+		longest := c.LongestUnread.Load()
+		if int64(waited) <= longest || c.LongestUnread.CompareAndSwap(longest, int64(waited)) {
+			return
+		}
+	}
+}
+
 // ClosedByReason returns the number of connections closed for each reason.
 func (c *Counters) ClosedByReason() map[string]int64 {
 	byReason := map[string]int64{}
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -29,6 +29,7 @@
 	descOpen          = desc("arrowcleat_open", "Invocations whose request header was read and that are not answered yet.", nil, nil)
 	descRead          = desc("arrowcleat_requests_read_total", "Requests read from clients.", nil, nil)
 	descDone          = desc("arrowcleat_requests_done_total", "Requests read and completed, by outcome; unanswered must stay 0.", []string{"outcome"}, nil)
+	descLongestUnread = desc("arrowcleat_longest_unread_seconds", "Longest time that a request waited before it was read, in seconds.", nil, nil)
 	descSecondAnswers = desc("arrowcleat_second_answers_total", "Answers suppressed because no answer was pending; must stay 0.", nil, nil)
 	descClosed        = desc("arrowcleat_connections_closed_total", "Client connections closed, by reason.", []string{"reason"}, nil)
 	descSuppressed    = desc("arrowcleat_dispatches_held_back_total", "Dispatches suppressed by the final check before writing.", nil, nil)
@@ -66,6 +67,7 @@
 		emit(descDone, counter, float64(n), outcome)
 	}
 	emit(descSuppressed, counter, float64(counts.SuppressedDispatches.Load()))
+	emit(descLongestUnread, gauge, time.Duration(counts.LongestUnread.Load()).Seconds())
 	emit(descSecondAnswers, counter, float64(counts.SecondAnswers.Load()))
 	for reason, n := range counts.ClosedByReason() {
 		emit(descClosed, counter, float64(n), reason)
--- a/internal/tcpstate/tcpstate.go
+++ b/internal/tcpstate/tcpstate.go
@@ -1,9 +1,10 @@
-// Package tcpstate reads the state of a TCP connection from the kernel, which shows what the peer did. Linux only.
+// Package tcpstate reads the state of a TCP connection from the kernel, which shows what the peer did, and when. Linux only.
 package tcpstate
 
 import (
 	"fmt"
 	"net"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -21,25 +22,63 @@
 
 // Of returns the state of a connection. It fails if nc is not a TCP connection or is closed, or if the kernel refuses.
 func Of(nc net.Conn) (State, error) {
-	t, ok := nc.(*net.TCPConn)
+	socket, err := NewSocket(nc)
+	if err != nil {
+		return 0, err
+	}
+	info, err := socket.readInfo()
+	if err != nil {
+		return 0, err
+	}
+	return State(info.State), nil
+}
+
+// Socket reads the state of one connection, again and again. It is not safe for concurrent use.
+type Socket struct {
+	raw  syscall.RawConn
+	read func(fd uintptr) // sets info and err
+	info *unix.TCPInfo
+	err  error
+}
+
+// NewSocket returns the Socket of a connection. It fails if nc has no socket or is closed.
+func NewSocket(nc net.Conn) (*Socket, error) {
+	t, ok := nc.(syscall.Conn)
 	if !ok {
-		return 0, fmt.Errorf("%T is not a TCP connection", nc)
+		return nil, fmt.Errorf("%T has no socket", nc)
 	}
 	raw, err := t.SyscallConn()
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
-	var info *unix.TCPInfo
-	var infoErr error
-	if err := raw.Control(func(fd uintptr) {
-		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-	}); err != nil {
-		return 0, err
+	s := &Socket{raw: raw}
+	s.read = func(fd uintptr) { s.info, s.err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }
+	return s, nil
+}
+
+// readInfo reads TCP_INFO.
+func (s *Socket) readInfo() (*unix.TCPInfo, error) {
+	if err := s.raw.Control(s.read); err != nil {
+		return nil, err
 	}
-	if infoErr != nil {
-		return 0, fmt.Errorf("TCP_INFO: %w", infoErr)
+	if s.err != nil {
+		return nil, fmt.Errorf("TCP_INFO: %w", s.err)
 	}
-	return State(info.State), nil
+	return s.info, nil
+}
+
+// tickDuration is the longest tick of the kernel's clock (CONFIG_HZ=100), by which TCP_INFO may overstate a time.
+const tickDuration = 10 * time.Millisecond
+
+// SinceLastData returns for how long at least the last data of the peer has been in this machine's socket, read or unread,
+// also while the connection was in the accept queue. It does not depend on the wall clock. It fails if the connection is
+// closed, or if the kernel refuses.
+func (s *Socket) SinceLastData() (time.Duration, error) {
+	info, err := s.readInfo()
+	if err != nil {
+		return 0, err
+	}
+	return max(0, time.Duration(info.Last_data_recv)*time.Millisecond-tickDuration), nil
 }
 
 // pollInterval is the time between two reads of the state.
--- a/internal/tcpstate/tcpstate_test.go
+++ b/internal/tcpstate/tcpstate_test.go
@@ -57,3 +57,48 @@
 		})
 	}
 }
+
+// The time since the last data counts while a connection is in the accept queue and while its data is unread, and begins
+// anew with the next data.
+func TestSinceLastData(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	const wait = 100 * time.Millisecond
+	check := func(socket *Socket, where string, sent time.Time) {
+		t.Helper()
+		since, err := socket.SinceLastData()
+		if elapsed := time.Since(sent); err != nil || since < wait-2*tickDuration || since > elapsed {
+			t.Errorf("%s: %v since the last data, error %v; want %v to %v", where, since, err, wait-2*tickDuration, elapsed)
+		}
+	}
+	sent := time.Now()
+	client.Write([]byte("x"))
+	time.Sleep(wait)
+	server, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	socket, err := NewSocket(server)
+	if err != nil {
+		t.Fatal(err)
+	}
+	check(socket, "in the accept queue", sent)
+	time.Sleep(wait)
+	sent = time.Now()
+	client.Write([]byte("x"))
+	time.Sleep(wait)
+	check(socket, "unread", sent)
+	server.Close()
+	if _, err := socket.SinceLastData(); err == nil {
+		t.Error("no error for a closed connection")
+	}
+}
