serve: a starting marshal takes requests at once and answers each in its client's time

Cause: serve.Start opened the listener first, so that the kernel took connections and requests for it, but accepted none before the first list or 1 s (awaitFirstLists); sockets to peers (up to 5 s of retries) and files were opened in between as well. Evidence: on a start without a list, requests sent 100 to 500 ms after it were all answered 1.0 s after it; longest_unread was 890 ms, and each was answered within a millisecond of being read. So the loop, the module and the nodes are excluded.

Change: the listener opens last and accepts at once. What needs the list waits in the loop's queue (Loop.HoldArrivals) until it is there or the same second is over, and is answered in its time by its connection's goroutine, as when the loop is stalled; nothing is sent by the list held last any sooner than before. Health checks wait for the list, as before. Start returns at once, so that TERM is handled during the start. Start and open are cut into functions of one job each.

Why it works: what the kernel takes is read at once; from then on the bound on each answer is the client's own time.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -362,11 +362,15 @@
 	}
 }
 
-// answerOverdue answers in time when the loop does not, because it is stalled or the module has lost the invocation. An
-// invocation that the loop has not accepted yet is rejected; any other is terminated, which promises nothing.
+// answerOverdue answers in time when the loop does not, because it holds arrivals, is stalled, or the module has lost the
+// invocation. An invocation that the loop has not accepted yet is rejected; any other is terminated, which promises nothing.
 func (x *exchange) answerOverdue() (answered, keepAlive bool) {
 	if state := x.state.Load(); state%stateCount == offered && x.state.CompareAndSwap(state, state+withdrawn) {
-		return true, x.conn.reject(503, "this marshal stands still", x.requiredClose(), "Retry-After", "1")
+		text := "this marshal stands still"
+		if !x.conn.server.isReady() {
+			text = "this marshal is starting"
+		}
+		return true, x.conn.reject(503, text, x.requiredClose(), "Retry-After", "1")
 	}
 	if x.decided.Swap(true) {
 		return false, false // its answer has been decided
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -43,6 +43,9 @@
 	Pool     *back.Pool        // connections to nodes
 	Log      *slog.Logger
 	Protocol ProtocolOptions
+	// Ready is closed once the loops accept invocations, or when the server ends before that; nil: they accept them from the
+	// start. Until then invocations wait in the loops' queues, each for its client's time at most.
+	Ready <-chan struct{}
 
 	openIDs          sync.Map                          // ids of open requests
 	draining         atomic.Bool                       // every connection closes after its next answer
@@ -184,6 +187,19 @@
 	return s.Settings
 }
 
+// isReady reports whether the loops accept invocations.
+func (s *Server) isReady() bool {
+	if s.Ready == nil {
+		return true
+	}
+	select {
+	case <-s.Ready:
+		return true
+	default:
+		return false
+	}
+}
+
 // UpdateSettings replaces the settings for whatever begins from now on.
 func (s *Server) UpdateSettings(set *settings.Settings) { s.updatedSettings.Store(set) }
 
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -88,7 +88,7 @@
 		return c.rejectUnreadable(err)
 	}
 	if s.Protocol.HealthPath != "" && h.Target == s.Protocol.HealthPath && h.Method == "GET" && h.BodyLength == 0 {
-		return c.writePlain(200, NotAccepted, "serving", x.requiredClose())
+		return c.answerHealthCheck(x)
 	}
 	// Read operation, tenant, key, idempotency key and time limit from the head. Nothing has been accepted yet.
 	params, err := c.readParams(h)
@@ -165,6 +165,17 @@
 	return x.run()
 }
 
+// answerHealthCheck answers a health check once the server is ready.
+func (c *conn) answerHealthCheck(x *exchange) bool {
+	if s := c.server; s.Ready != nil {
+		<-s.Ready
+	}
+	if c.server.aborted.Load() {
+		return c.reject(503, "this marshal has ended", x.requiredClose())
+	}
+	return c.writePlain(200, NotAccepted, "serving", x.requiredClose())
+}
+
 // rejectOverloaded rejects an invocation that no core has accepted because too many wait.
 func (s *Server) rejectOverloaded(x *exchange) bool {
 	return x.conn.reject(503, "this marshal is behind", x.requiredClose(), "Retry-After", "1")
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -61,6 +61,7 @@
 	posted   []func()
 	arrivals []func()
 	stopped  bool
+	holding  bool // arrivals wait until ReleaseArrivals
 
 	// Restartable, set before Run, allows Run to be called again after a panic: queued calls are kept, timers are not.
 	Restartable bool
@@ -132,6 +133,21 @@
 	return true
 }
 
+// HoldArrivals lets arrivals wait until ReleaseArrivals; all other calls run. It is called before Run.
+func (l *Loop) HoldArrivals() { l.setHolding(true) }
+
+// ReleaseArrivals runs the arrivals that wait because of HoldArrivals, and from now on those that come.
+func (l *Loop) ReleaseArrivals() {
+	l.setHolding(false)
+	l.signal()
+}
+
+func (l *Loop) setHolding(holding bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holding = holding
+}
+
 // signal wakes the loop.
 func (l *Loop) signal() {
 	select {
@@ -218,11 +234,11 @@
 	l.runningPosted, l.postedMeanwhile, l.runningArrivals, l.timers = nil, nil, nil, nil
 }
 
-// hasCalls reports whether any queue holds a call.
+// hasCalls reports whether any queue holds a call that may run.
 func (l *Loop) hasCalls() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.posted)+len(l.arrivals)+len(l.urgent) > 0
+	return len(l.posted)+len(l.urgent) > 0 || len(l.arrivals) > 0 && !l.holding
 }
 
 // step runs the calls that wait now and the timers that are due, and reports whether any call waited.
@@ -235,7 +251,11 @@
 	}()
 	l.mu.Lock()
 	l.runningPosted, l.posted = l.posted, l.runningPosted[:0]
-	l.runningArrivals, l.arrivals = l.arrivals, l.runningArrivals[:0]
+	if l.holding {
+		l.runningArrivals = l.runningArrivals[:0]
+	} else {
+		l.runningArrivals, l.arrivals = l.arrivals, l.runningArrivals[:0]
+	}
 	l.mu.Unlock()
 	l.runUrgent()
 	l.runAll(l.runningPosted)
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -232,3 +232,34 @@
 		})
 	}
 }
+
+// Arrivals that are held wait, while all other calls run. Once they are released they run in their order, and the loop
+// sleeps while it holds some.
+func TestHoldArrivals(t *testing.T) {
+	l := New(&manualClock{now: 5}, 20)
+	l.HoldArrivals()
+	var ran []string
+	record := func(s string) func() { return func() { ran = append(ran, s) } }
+	for i := range 3 {
+		l.Offer(record(fmt.Sprint("a", i)))
+	}
+	l.Post(record("e"))
+	l.PostUrgent(record("u"))
+	ended := make(chan error)
+	go func() { ended <- l.Run() }()
+	l.Do(func() {})
+	if got := strings.Join(ran, " "); got != "u e" || l.Waiting() != 3 || l.hasCalls() {
+		t.Errorf("while arrivals are held: ran %q, %d wait, calls that may run: %v; want \"u e\", 3, false", got, l.Waiting(), l.hasCalls())
+	}
+	l.ReleaseArrivals()
+	for l.Waiting() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	l.Stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if got := strings.Join(ran, " "); got != "u e a0 a1 a2" {
+		t.Errorf("after the release: ran %q", got)
+	}
+}
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -238,7 +238,7 @@
 	}
 }
 
-// A new process accepts nothing before it has the list of discovery's agent, but doesn't wait long for an unresponsive
+// A new process dispatches nothing before it has the list of discovery's agent, but doesn't wait long for an unresponsive
 // agent.
 func TestFirstList(t *testing.T) {
 	for _, unresponsive := range []bool{false, true} {
@@ -257,11 +257,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		<-m.Ready()
 		took := time.Since(start)
 		if state, _ := m.Snapshot(); !unresponsive && (len(state.Nodes) != 1 || took < 300*time.Millisecond) {
-			t.Errorf("started after %v with %d nodes; want 1 node after 300 ms or more", took, len(state.Nodes))
+			t.Errorf("ready after %v with %d nodes; want 1 node after 300 ms or more", took, len(state.Nodes))
 		} else if most := firstListMs*time.Millisecond + time.Second; took > most {
-			t.Errorf("unresponsive %v: started after %v; want %v at most", unresponsive, took, most)
+			t.Errorf("unresponsive %v: ready after %v; want %v at most", unresponsive, took, most)
 		}
 		m.End()
 	}
--- a/internal/serve/open.go
+++ b/internal/serve/open.go
@@ -31,52 +31,97 @@
 	}
 }
 
-// open opens the sockets and files of the marshal. If one fails, those already opened are closed.
-func (m *Marshal) open(listenOn func(network, address string) (net.Listener, error)) (err error) {
-	listen := func(address string) (ln net.Listener, err error) {
-		err = retryOnShortage(func() error {
-			ln, err = listenOn("tcp", address)
-			return err
-		})
-		return ln, err
-	}
+// open opens the files of the marshal and all sockets except those that clients connect to. If one fails, those already
+// opened are closed.
+func (m *Marshal) open(hooks Hooks) (err error) {
 	defer func() {
 		if err != nil {
 			m.closeSockets()
 		}
 	}()
-	for _, l := range append([]*settings.Listener{{Name: settings.MainListener,
-		Address: m.Settings.Listen.Invocations}}, m.Settings.Listener...) {
-		ln, err := listen(l.Address)
-		if err != nil {
-			return fmt.Errorf("listener %s: %w", l.Name, err)
+	if err := m.openPeers(); err != nil {
+		return err
+	}
+	if m.Settings.Listen.Metrics != "" {
+		if m.metricsListener, err = listen(hooks.Listen, m.Settings.Listen.Metrics); err != nil {
+			return fmt.Errorf("listen.metrics: %w", err)
 		}
-		m.listeners = append(m.listeners, front.Listener{Listener: ln, Name: l.Name})
 	}
-	if m.Settings.Listen.Peers != "" {
-		address, err := net.ResolveUDPAddr("udp", m.Settings.Listen.Peers)
+	if err := m.openRecordings(); err != nil {
+		return err
+	}
+	if t := hooks.Transport; t != nil && t.NewPeers != nil {
+		peers, err := openTransportPeers(t, m.peerMessage)
 		if err != nil {
-			return fmt.Errorf("listen.peers: %w", err)
-		}
-		var conn *net.UDPConn
-		if err := retryOnShortage(func() error { conn, err = net.ListenUDP("udp", address); return err }); err != nil {
-			return fmt.Errorf("listen.peers: %w", err)
+			return err
 		}
-		peers := &control.PeerTransport{Number: int(m.Settings.Instance.Number), Conn: conn,
-			Addresses: map[int]*net.UDPAddr{}, OnPeerMessage: m.peerMessage,
-			OnError: func(err error) { m.Log.Warn("message from peer rejected", "err", err) }}
 		m.peers = peers
-		for _, p := range m.Settings.Peer {
-			if peers.Addresses[int(p.Number)], err = net.ResolveUDPAddr("udp", p.Address); err != nil {
-				return fmt.Errorf("peer %d: %w", p.Number, err)
-			}
+	}
+	return nil
+}
+
+// listenForClients opens the listeners of clients. The kernel accepts connections for the marshal from then on.
+func (m *Marshal) listenForClients(listenOn listenFunc) error {
+	main := &settings.Listener{Name: settings.MainListener, Address: m.Settings.Listen.Invocations}
+	for _, l := range append([]*settings.Listener{main}, m.Settings.Listener...) {
+		ln, err := listen(listenOn, l.Address)
+		if err != nil {
+			m.closeSockets()
+			return fmt.Errorf("listener %s: %w", l.Name, err)
 		}
+		m.listeners = append(m.listeners, front.Listener{Listener: ln, Name: l.Name})
 	}
-	if m.Settings.Listen.Metrics != "" {
-		if m.metricsListener, err = listen(m.Settings.Listen.Metrics); err != nil {
-			return fmt.Errorf("listen.metrics: %w", err)
+	return nil
+}
+
+// listenFunc opens a listener.
+type listenFunc func(network, address string) (net.Listener, error)
+
+// listen opens a TCP listener.
+func listen(listenOn listenFunc, address string) (ln net.Listener, err error) {
+	err = retryOnShortage(func() error {
+		ln, err = listenOn("tcp", address)
+		return err
+	})
+	return ln, err
+}
+
+// openTransportPeers opens the connection to peers of a transport.
+func openTransportPeers(t *Transport, receive func(from int, text string)) (peers Peers, err error) {
+	err = retryOnShortage(func() error {
+		peers, err = t.NewPeers(receive)
+		return err
+	})
+	return peers, err
+}
+
+// openPeers opens the UDP socket for messages between marshals, if the settings have one.
+func (m *Marshal) openPeers() error {
+	if m.Settings.Listen.Peers == "" {
+		return nil
+	}
+	address, err := net.ResolveUDPAddr("udp", m.Settings.Listen.Peers)
+	if err != nil {
+		return fmt.Errorf("listen.peers: %w", err)
+	}
+	var conn *net.UDPConn
+	if err := retryOnShortage(func() error { conn, err = net.ListenUDP("udp", address); return err }); err != nil {
+		return fmt.Errorf("listen.peers: %w", err)
+	}
+	peers := &control.PeerTransport{Number: int(m.Settings.Instance.Number), Conn: conn,
+		Addresses: map[int]*net.UDPAddr{}, OnPeerMessage: m.peerMessage,
+		OnError: func(err error) { m.Log.Warn("message from peer rejected", "err", err) }}
+	m.peers = peers
+	for _, p := range m.Settings.Peer {
+		if peers.Addresses[int(p.Number)], err = net.ResolveUDPAddr("udp", p.Address); err != nil {
+			return fmt.Errorf("peer %d: %w", p.Number, err)
 		}
 	}
+	return nil
+}
+
+// openRecordings opens the files in which workers are recorded.
+func (m *Marshal) openRecordings() (err error) {
 	for _, w := range m.allWorkers() {
 		recording := w.settings.Record
 		if recording.File == "" {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -7,19 +7,15 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"net"
-	"runtime"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"arrowcleat/balance"
 	"arrowcleat/divide"
 	"arrowcleat/internal/back"
 	"arrowcleat/internal/front"
-	"arrowcleat/internal/h1"
 	"arrowcleat/internal/loop"
 	"arrowcleat/internal/marshal"
 	"arrowcleat/internal/settings"
@@ -48,156 +44,13 @@
 	endOnce         sync.Once
 	failOnce        sync.Once
 	reloadMu        sync.Mutex
+	ready           chan struct{} // closed by release
+	readyOnce       sync.Once
 }
 
 // milliseconds converts a time in ms to a duration.
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
-// Start opens the sockets and starts a marshal. On return the marshal accepts invocations.
-func Start(set *settings.Settings, log *slog.Logger, hooks Hooks) (*Marshal, error) {
-	log = log.With("marshal", set.Instance.Number)
-	if hooks.Clock == nil {
-		hooks.Clock = loop.Monotonic()
-	}
-	if hooks.NewModule == nil {
-		hooks.NewModule = func(h balance.Host, s balance.Settings, seed uint64) divide.Module {
-			return balance.New(h, s, seed)
-		}
-	}
-	m := &Marshal{Settings: set, Log: log, ended: make(chan struct{})}
-	for range set.Cores() {
-		l := loop.New(hooks.Clock, int(set.Limits.Queue))
-		l.Restartable = set.Cores() > 1
-		m.Loops = append(m.Loops, l)
-	}
-	m.Loop = m.Loops[0]
-	m.now = loop.WallClock(hooks.Clock)
-	m.upstream = &back.Pool{Now: m.now,
-		Limits:      h1.Limits{LineBytes: int(set.Limits.LineBytes), HeaderBytes: int(set.Limits.HeaderBytes)},
-		DialTimeout: milliseconds(set.Times.DialMs), IdleTimeout: milliseconds(set.Times.NodeIdleMs),
-		MaxIdlePerNode: int(set.Limits.IdlePerNode)}
-	seed := set.Seed
-	if seed == 0 {
-		seed = rand.Uint64()
-	}
-	cores := make([][]*marshal.Core, len(m.Loops))
-	for i, poolSettings := range set.PoolSettings() {
-		p := &nodePool{m: m, number: i, blockedVer: -1, settings: poolSettings,
-			list: newNodeList(poolSettings.Roster.File, hooks.Clock), listChanged: make(chan struct{}, 1), firstList: make(chan struct{})}
-		if hooks.WriteFile != nil {
-			p.list.write = hooks.WriteFile
-		}
-		prefix, log := strconv.Itoa(int(set.Instance.Number))+"-"+strconv.FormatUint(seed>>40, 36)+"-", log
-		if len(set.Pool) > 0 {
-			prefix, log = prefix+strconv.Itoa(i)+"-", log.With("pool", set.Pool[i].Name)
-		}
-		if len(m.Loops) > 1 {
-			p.account = divide.NewAccount(hooks.Clock.Now, poolSettings.ModuleSettings(), len(m.Loops))
-		}
-		for j, l := range m.Loops {
-			w, prefix, log := &worker{nodePool: p, instance: j, loop: l}, prefix, log
-			if len(m.Loops) > 1 {
-				prefix, log = prefix+strconv.Itoa(j)+"-", log.With("core", j)
-			}
-			w.core = marshal.New(w, log, prefix)
-			if !hooks.SkipRepeatRules {
-				w.core.RepeatRules = repeatRules(poolSettings.Operation)
-			}
-			p.workers, cores[j] = append(p.workers, w), append(cores[j], w.core)
-		}
-		m.pools = append(m.pools, p)
-	}
-	if hooks.Listen == nil {
-		hooks.Listen = net.Listen
-	}
-	if err := m.open(hooks.Listen); err != nil {
-		return nil, err
-	}
-	m.upstream.Connect = hooks.Connect
-	if t := hooks.Transport; t != nil {
-		m.upstream.Strict, m.upstream.ReportNames, m.upstream.MaxConns, m.upstream.ReuseDelay =
-			t.Strict, t.ReportNames, t.MaxNodeConnections, t.ReuseDelay
-		if t.NewPeers != nil {
-			err := retryOnShortage(func() (err error) {
-				m.peers, err = t.NewPeers(m.peerMessage)
-				return err
-			})
-			if err != nil {
-				m.peers = nil // an interface that holds a nil pointer is not nil
-				m.closeSockets()
-				return nil, err
-			}
-		}
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	m.cancel = cancel
-	for _, p := range m.pools {
-		nodes, addresses := p.loadList(hooks.Transport)
-		for _, w := range p.workers {
-			w.loop.PostUrgent(func() { w.start(hooks, seed+uint64(p.number), nodes, addresses) }) // runs before any other call of the loop
-		}
-		p.connectControl(hooks.Transport)
-	}
-	m.Front = &front.Server{Settings: set, Clock: hooks.Clock, Loops: m.Loops, Cores: cores, Pool: m.upstream, Log: log}
-	if hooks.Transport != nil {
-		m.Front.Protocol = hooks.Transport.ProtocolOptions
-	}
-	if hooks.ConfigureFront != nil {
-		hooks.ConfigureFront(m.Front)
-	}
-	for i := range m.Loops {
-		m.running.Add(1)
-		go m.runLoop(i, hooks, seed)
-	}
-	go func() { m.running.Wait(); close(m.ended) }()
-	for _, p := range m.pools {
-		if p.registry != nil {
-			m.background(func() { p.registry.Run(ctx) })
-		}
-		if p.rollout != nil {
-			m.background(func() { p.rollout.Run(ctx) })
-		}
-		m.background(func() { p.saveChanges(ctx) })
-	}
-	if m.peers != nil {
-		m.background(m.peers.Run)
-	}
-	m.background(func() { m.sweepPeriodically(ctx) })
-	if m.metricsListener != nil {
-		m.serveMetrics(ctx)
-	}
-	if hooks.Transport != nil {
-		m.awaitFirstLists(hooks.Transport.FirstListTimeout)
-	}
-	serving := make(chan struct{})
-	m.background(func() {
-		close(serving)
-		if err := m.Front.Serve(m.listeners); err != nil {
-			m.Log.Error("the marshal no longer accepts connections", "err", err)
-		}
-	})
-	<-serving
-	if n := runtime.GOMAXPROCS(0); n < len(m.Loops) {
-		log.Warn("fewer processors than cores: loops compete for processor time", "processors", n, "cores", len(m.Loops))
-	}
-	log.Info("marshal started", "invocations", m.Address(), "cores", len(m.Loops), "seed", seed)
-	return m, nil
-}
-
-// awaitFirstLists waits for the first node list of every pool, up to the timeout. A new process would otherwise
-// dispatch by the list it saved last, to nodes that the current list already excludes. The cost: where no list arrives,
-// the marshal serves that much later.
-func (m *Marshal) awaitFirstLists(timeout time.Duration) {
-	expired := time.After(timeout)
-	for _, p := range m.pools {
-		select {
-		case <-p.firstList:
-		case <-expired:
-			return
-		}
-	}
-}
-
 // background runs f in a goroutine that the end of the marshal waits for.
 func (m *Marshal) background(f func()) {
 	m.tasks.Add(1)
--- a/internal/serve/stop.go
+++ b/internal/serve/stop.go
@@ -53,6 +53,7 @@
 func (m *Marshal) End() error {
 	m.endOnce.Do(func() {
 		m.Front.Abort()
+		m.release() // health checks wait for it
 		blocked := !m.stopLoops()
 		m.Front.Abort()
 		m.Front.Close(2 * time.Second)
@@ -88,6 +89,7 @@
 func (m *Marshal) Kill() {
 	m.endOnce.Do(func() {
 		m.Front.Kill()
+		m.release()
 		m.stopLoops()
 		m.cancel()
 		m.closeSockets()
