front: idle clients give way where accepting fails for want of descriptors

Cause: idle connections gave way to new ones at the limit of connections only. Where descriptors ran out before it, a request in the accept queue waited until idle clients timed out (2.5 s) and was answered after its client's time, however short that was. Evidence: "no connection could be accepted" stands in the log all the while, with idle connections open.

Change: an accept that fails for a shortage evicts one idle connection, by the choice that the limit uses, and is tried again after 1 to 20 ms as before. Why it works: the evicted connection closes within 5 ms, and its descriptor is the one that accept needs.

--- a/cmd/arrowcleat/platform_test.go
+++ b/cmd/arrowcleat/platform_test.go
@@ -311,6 +311,44 @@
 	}
 }
 
+// TestIdleClientsGiveWayWithoutDescriptors guards against a request in the accept queue waiting for as long as idle clients
+// hold all descriptors: it was answered only once they had timed out, after 2.5 s.
+func TestIdleClientsGiveWayWithoutDescriptors(t *testing.T) {
+	const (
+		descriptors, idleClients = 48, 60
+		timeLimit                = 600 * time.Millisecond
+		maxLateness              = 550 * time.Millisecond // a later answer is lost
+	)
+	list, _ := streamServer(t, `{"seq":1,"whole":true,"hosts":[]}`)
+	api, _ := streamServer(t, "{}\n")
+	limited := exec.Command("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" platform`, descriptors), os.Args[0])
+	p := startCommand(t, limited, func(address string) string { return fmt.Sprintf(configTemplate, address, list, api) })
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", p.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	for range idleClients {
+		dial()
+	}
+	p.waitFor("descriptors are exhausted", func() bool { return strings.Contains(p.log.String(), "no connection could be accepted") })
+	queued := dial()
+	sent := time.Now()
+	fmt.Fprintf(queued, "GET /look HTTP/1.1\r\nHost: x\r\nX-Trace-Id: 1\r\nX-Qos: look\r\nX-Expires-In-Ms: %d\r\n\r\n",
+		timeLimit.Milliseconds())
+	queued.SetReadDeadline(sent.Add(timeLimit + maxLateness))
+	if _, err := http.ReadResponse(bufio.NewReader(queued), nil); err != nil {
+		t.Errorf("a request in the accept queue beside idle clients: %v", err)
+	}
+	p.Process.Signal(syscall.SIGTERM)
+	if err := p.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestSecondTermWhileConnectionsCome checks that connections opened within 0.4 s after the first TERM are answered, also
 // after a second TERM. A second TERM used to close the listener at once: soak seed 6, "0-6-735 at marshal 0 had no answer
 // (broke EOF, 0 dispatches)", 329 ms after the first and 52 ms after the second.
--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -39,6 +39,9 @@
 					s.Log.Warn("no connection could be accepted", "err", err)
 					lastLogged = time.Now()
 				}
+				if back.IsResourceShortage(err) {
+					s.freeDescriptor()
+				}
 				time.Sleep(wait)
 				wait = min(2*wait, maxAcceptRetry)
 				continue
@@ -102,7 +105,7 @@
 		return
 	}
 	full := len(s.conns)-s.evicting >= int(s.CurrentSettings().Limits.Connections)
-	if full && s.Protocol.FirstRequestTimeoutMs > 0 && s.evicting < maxLingering {
+	if full {
 		full = !s.evict()
 	}
 	if !full {
@@ -150,8 +153,20 @@
 	}()
 }
 
-// evict asks an idle connection to close in favour of a new one, and reports whether it found one. s.mu is held.
+// freeDescriptor evicts an idle connection, if there is one, for a connection that can't be accepted because descriptors are
+// exhausted: the time limit of the request that it may carry is running.
+func (s *Server) freeDescriptor() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evict()
+}
+
+// evict asks an idle connection to close in favour of a new one, and reports whether it found one. It finds none in a protocol
+// without a time limit for first requests. s.mu is held.
 func (s *Server) evict() bool {
+	if s.Protocol.FirstRequestTimeoutMs <= 0 || s.evicting >= maxLingering {
+		return false
+	}
 	now := s.Clock.Now()
 	var conns []*conn
 	var candidates []connlimit.Conn
