cmd: one harness file for tests of the process; SIGSTOP is waited for

The same steps (discovery with one node, a process with few descriptors, dialing it) stood in five tests. They are oneNodeConfig, limitedCommand and dial now, in process_test.go beside the harness. No check changed. stop waits until /proc says that the process has stopped: after the signal alone it may still read what was to wait unread.

--- a/cmd/arrowcleat/platform_test.go
+++ b/cmd/arrowcleat/platform_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -11,7 +10,6 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,8 +18,6 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"arrowcleat/internal/loopback"
 )
 
 // TestMain runs the program itself, instead of the tests, if the environment asks for it.
@@ -36,30 +32,6 @@
 	os.Exit(m.Run())
 }
 
-// configTemplate is a platform configuration without the addresses of the marshal, discovery and the release API.
-const configTemplate = `{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
-"limits":{"cores":1,"memory_mb":64,"sockets":256},"release_api":{"address":%q,
-"news":{"Revision":7,"Wave":1,"State":"live","MaxShare":1,"AgeMs":90000}},
-"settings":{"balancers":1,"me":0,"locality":0,"zones":["here"],"discovery":"automatic",
-"limits":{"most-tries":3,"conn-idle-s":30.0,"dial-timeout-s":0.25},"rules":{"stop-sending-within-s":0.5,"warm-up-s":3.0},
-"domain":{"api-timeout-s":0.3,"gate-mode":"first_voice"},
-"request-classes":[{"name":"look","aim-s":0.4,"deadline-s":1.5,"repeat":"free"},
-{"name":"book","aim-s":0.4,"deadline-s":1.5,"repeat":"guarded","group":"zone","window-s":8.0}]}}`
-
-// streamServer starts a server that answers each request with text and then keeps the response open. requests counts
-// the requests.
-func streamServer(t *testing.T, text string) (address string, requests *atomic.Int64) {
-	requests = &atomic.Int64{}
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		requests.Add(1)
-		io.WriteString(w, text)
-		w.(http.Flusher).Flush()
-		<-q.Context().Done()
-	}))
-	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
-	return s.Listener.Addr().String(), requests
-}
-
 // requestUntilClosed sends requests one after the other until the marshal accepts no more connections, and returns the
 // first failure. Like the platform's clients, it repeats a request once if a kept connection closes.
 func requestUntilClosed(address string, number int, answered *atomic.Int64) error {
@@ -111,85 +83,6 @@
 	}
 }
 
-// process is a running marshal with its log, its configuration file and the address that it serves at.
-type process struct {
-	*exec.Cmd
-	t                   *testing.T
-	log                 processLog
-	configFile, address string
-}
-
-// processLog collects the log of a process. It can be read while the process runs.
-type processLog struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (l *processLog) Write(b []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(b)
-}
-
-func (l *processLog) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.String()
-}
-
-// startMarshal starts a marshal with the configuration for its address and waits until it serves.
-func startMarshal(t *testing.T, config func(address string) string) *process {
-	t.Helper()
-	return startCommand(t, exec.Command(os.Args[0], "platform"), config)
-}
-
-// startCommand does the same as startMarshal with a given command.
-func startCommand(t *testing.T, command *exec.Cmd, config func(address string) string) *process {
-	t.Helper()
-	reserved, err := loopback.Reserve()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(reserved.Release)
-	p := &process{Cmd: command, t: t, address: reserved.Address(loopback.RequestPort),
-		configFile: filepath.Join(t.TempDir(), "config.json")}
-	p.writeConfig(config(p.address))
-	p.Env = append(os.Environ(), programVariable+"=1", "GW_CONFIG="+p.configFile)
-	p.Stderr = &p.log
-	if err := p.Start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { p.Process.Kill() })
-	p.waitFor("serving", func() bool {
-		r, err := http.Get("http://" + p.address + "/healthz")
-		if err == nil {
-			r.Body.Close()
-		}
-		return err == nil && r.StatusCode == 200
-	})
-	http.DefaultClient.CloseIdleConnections()
-	return p
-}
-
-func (p *process) writeConfig(text string) {
-	p.t.Helper()
-	if err := os.WriteFile(p.configFile, []byte(text), 0o644); err != nil {
-		p.t.Fatal(err)
-	}
-}
-
-// waitFor waits until a condition holds. After 10 s it kills the process and fails the test.
-func (p *process) waitFor(what string, condition func() bool) {
-	p.t.Helper()
-	for deadline := time.Now().Add(10 * time.Second); !condition(); time.Sleep(2 * time.Millisecond) {
-		if time.Now().After(deadline) {
-			p.Process.Kill()
-			p.Wait()
-			p.t.Fatalf("timed out waiting for: %s\n%s", what, p.log.String())
-		}
-	}
-}
-
 // TestClientsLeaveWhileProcessIsStopped checks that requests of clients that closed their connections while the process
 // was stopped (SIGSTOP) are not dispatched.
 func TestClientsLeaveWhileProcessIsStopped(t *testing.T) {
@@ -199,17 +92,11 @@
 		io.WriteString(w, "fine")
 	}))
 	defer node.Close()
-	list, _ := streamServer(t, fmt.Sprintf(`{"seq":1,"whole":true,"hosts":[{"host":"a","dial":%q,"site":"here","health":"in_service","build":7}]}`,
-		node.Listener.Addr()))
-	api, _ := streamServer(t, "{}\n")
-	p := startMarshal(t, func(address string) string { return fmt.Sprintf(configTemplate, address, list, api) })
+	p := startMarshal(t, oneNodeConfig(t, node))
 	for round := range 20 {
-		p.Process.Signal(syscall.SIGSTOP)
+		p.stop()
 		for i := range 5 {
-			c, err := net.Dial("tcp", p.address)
-			if err != nil {
-				t.Fatal(err)
-			}
+			c := p.dial()
 			fmt.Fprintf(c, "POST /book HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %d-%d\r\nX-Qos: book\r\nIdempotency-Key: %d-%d\r\n"+
 				"Content-Length: 2\r\n\r\nab", round, i, round, i)
 			c.Close()
@@ -251,18 +138,7 @@
 	const descriptors, idleClients = 48, 60
 	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "fine") }))
 	defer node.Close()
-	list, _ := streamServer(t, fmt.Sprintf(`{"seq":1,"whole":true,"hosts":[{"host":"a","dial":%q,"site":"here","health":"in_service","build":7}]}`,
-		node.Listener.Addr()))
-	api, _ := streamServer(t, "{}\n")
-	limited := exec.Command("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" platform`, descriptors), os.Args[0])
-	p := startCommand(t, limited, func(address string) string { return fmt.Sprintf(configTemplate, address, list, api) })
-	dial := func() net.Conn {
-		c, err := net.Dial("tcp", p.address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return c
-	}
+	p := startCommand(t, limitedCommand(descriptors), oneNodeConfig(t, node))
 	const timeLimit = 600 * time.Millisecond
 	number := 0
 	send := func(c net.Conn) {
@@ -278,7 +154,7 @@
 		}
 		return err
 	}
-	open := dial()
+	open := p.dial()
 	defer open.Close()
 	request := func() {
 		send(open)
@@ -289,13 +165,13 @@
 	request()
 	var idle []net.Conn
 	for range idleClients {
-		idle = append(idle, dial())
+		idle = append(idle, p.dial())
 	}
 	for range 14 {
 		time.Sleep(100 * time.Millisecond) // the connection to the node is idle for a moment after each answer
 		request()
 	}
-	queued := dial() // in the accept queue
+	queued := p.dial() // in the accept queue
 	defer queued.Close()
 	send(queued)
 	for _, c := range idle {
@@ -319,23 +195,14 @@
 		timeLimit                = 600 * time.Millisecond
 		maxLateness              = 550 * time.Millisecond // a later answer is lost
 	)
-	list, _ := streamServer(t, `{"seq":1,"whole":true,"hosts":[]}`)
-	api, _ := streamServer(t, "{}\n")
-	limited := exec.Command("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" platform`, descriptors), os.Args[0])
-	p := startCommand(t, limited, func(address string) string { return fmt.Sprintf(configTemplate, address, list, api) })
-	dial := func() net.Conn {
-		c, err := net.Dial("tcp", p.address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { c.Close() })
-		return c
-	}
+	node := httptest.NewServer(http.NotFoundHandler())
+	defer node.Close()
+	p := startCommand(t, limitedCommand(descriptors), oneNodeConfig(t, node))
 	for range idleClients {
-		dial()
+		p.dial()
 	}
 	p.waitFor("descriptors are exhausted", func() bool { return strings.Contains(p.log.String(), "no connection could be accepted") })
-	queued := dial()
+	queued := p.dial()
 	sent := time.Now()
 	fmt.Fprintf(queued, "GET /look HTTP/1.1\r\nHost: x\r\nX-Trace-Id: 1\r\nX-Qos: look\r\nX-Expires-In-Ms: %d\r\n\r\n",
 		timeLimit.Milliseconds())
@@ -355,10 +222,7 @@
 func TestSecondTermWhileConnectionsCome(t *testing.T) {
 	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "fine") }))
 	defer node.Close()
-	list, _ := streamServer(t, fmt.Sprintf(`{"seq":1,"whole":true,"hosts":[{"host":"a","dial":%q,"site":"here","health":"in_service","build":7}]}`,
-		node.Listener.Addr()))
-	api, _ := streamServer(t, "{}\n")
-	p := startMarshal(t, func(address string) string { return fmt.Sprintf(configTemplate, address, list, api) })
+	p := startMarshal(t, oneNodeConfig(t, node))
 	var termSentNs atomic.Int64
 	var wg sync.WaitGroup
 	for i := range 16 {
@@ -485,11 +349,7 @@
 		t.Fatal(err)
 	}
 	p.waitFor("the configuration to be applied once it can be read", func() bool { return requests[1].Load() > 0 })
-	c, err := net.Dial("tcp", p.address) // a request that delays the end of draining
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
+	c := p.dial() // a request that delays the end of draining
 	fmt.Fprint(c, "GET /look HTTP/1.1\r\nHost: x\r\nX-Trace-Id: 1\r\nX-Qos: look\r\n\r\n")
 	p.Process.Signal(syscall.SIGTERM)
 	p.waitFor("draining", func() bool { return strings.Contains(p.log.String(), "draining") })
@@ -513,9 +373,6 @@
 		t.Run(name, func(t *testing.T) {
 			node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "fine") }))
 			defer node.Close()
-			list, _ := streamServer(t, fmt.Sprintf(`{"seq":1,"whole":true,"hosts":[{"host":"a","dial":%q,"site":"here","health":"in_service","build":7}]}`,
-				node.Listener.Addr()))
-			api, _ := streamServer(t, "{}\n")
 			reader, writer, err := os.Pipe()
 			if err != nil {
 				t.Fatal(err)
@@ -526,7 +383,7 @@
 			}
 			command := exec.Command("/bin/sh", "-c", `exec "$0" platform --log debug 2>&3`, os.Args[0])
 			command.ExtraFiles = []*os.File{writer}
-			p := startCommand(t, command, func(address string) string { return fmt.Sprintf(configTemplate, address, list, api) })
+			p := startCommand(t, command, oneNodeConfig(t, node))
 			writer.Close()
 			if closed {
 				reader.Close()
--- a/cmd/arrowcleat/unread_test.go
+++ b/cmd/arrowcleat/unread_test.go
@@ -54,21 +54,10 @@
 		io.WriteString(w, "fine")
 	}))
 	defer node.Close()
-	list, _ := streamServer(t, fmt.Sprintf(`{"seq":1,"whole":true,"hosts":[{"host":"a","dial":%q,"site":"here","health":"in_service","build":7}]}`,
-		node.Listener.Addr()))
-	api, _ := streamServer(t, "{}\n")
-	p := startMarshal(t, func(address string) string { return fmt.Sprintf(configTemplate, address, list, api) })
-	dial := func() net.Conn {
-		c, err := net.Dial("tcp", p.address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { c.Close() })
-		return c
-	}
+	p := startMarshal(t, oneNodeConfig(t, node))
 	var requests []unreadRequest
 	for _, limit := range []time.Duration{short, long} {
-		kept := dial()
+		kept := p.dial()
 		before := unreadRequest{"before" + limit.String(), time.Second, kept}
 		before.send()
 		if status := before.status(t); status != 200 {
@@ -76,9 +65,9 @@
 		}
 		requests = append(requests, unreadRequest{"kept" + limit.String(), limit, kept})
 	}
-	p.Process.Signal(syscall.SIGSTOP)
+	p.stop()
 	for _, limit := range []time.Duration{short, long} {
-		requests = append(requests, unreadRequest{"queued" + limit.String(), limit, dial()})
+		requests = append(requests, unreadRequest{"queued" + limit.String(), limit, p.dial()})
 	}
 	for _, r := range requests {
 		r.send()
