serve: one retry on a shortage of sockets returns what it opened

The split of open left three wrappers that carried a listener or a connection out of retryOnShortage's closure. It returns what was opened now, so openTransportPeers and the assignments inside the closures are gone. No behaviour, bound or interval changes.

--- a/internal/serve/open.go
+++ b/internal/serve/open.go
@@ -22,11 +22,12 @@
 	shortageRetryInterval = 10 * time.Millisecond
 )
 
-// retryOnShortage calls open, and repeats it while it fails for a temporary shortage of resources.
-func retryOnShortage(open func() error) error {
+// retryOnShortage returns what open opens, and repeats it while it fails for a temporary shortage of resources.
+func retryOnShortage[T any](open func() (T, error)) (T, error) {
 	for deadline := time.Now().Add(shortageTimeout); ; time.Sleep(shortageRetryInterval) {
-		if err := open(); err == nil || !back.IsResourceShortage(err) || time.Now().After(deadline) {
-			return err
+		opened, err := open()
+		if err == nil || !back.IsResourceShortage(err) || time.Now().After(deadline) {
+			return opened, err
 		}
 	}
 }
@@ -51,7 +52,7 @@
 		return err
 	}
 	if t := hooks.Transport; t != nil && t.NewPeers != nil {
-		peers, err := openTransportPeers(t, m.peerMessage)
+		peers, err := retryOnShortage(func() (Peers, error) { return t.NewPeers(m.peerMessage) })
 		if err != nil {
 			return err
 		}
@@ -78,21 +79,8 @@
 type listenFunc func(network, address string) (net.Listener, error)
 
 // listen opens a TCP listener.
-func listen(listenOn listenFunc, address string) (ln net.Listener, err error) {
-	err = retryOnShortage(func() error {
-		ln, err = listenOn("tcp", address)
-		return err
-	})
-	return ln, err
-}
-
-// openTransportPeers opens the connection to peers of a transport.
-func openTransportPeers(t *Transport, receive func(from int, text string)) (peers Peers, err error) {
-	err = retryOnShortage(func() error {
-		peers, err = t.NewPeers(receive)
-		return err
-	})
-	return peers, err
+func listen(listenOn listenFunc, address string) (net.Listener, error) {
+	return retryOnShortage(func() (net.Listener, error) { return listenOn("tcp", address) })
 }
 
 // openPeers opens the UDP socket for messages between marshals, if the settings have one.
@@ -104,8 +92,8 @@
 	if err != nil {
 		return fmt.Errorf("listen.peers: %w", err)
 	}
-	var conn *net.UDPConn
-	if err := retryOnShortage(func() error { conn, err = net.ListenUDP("udp", address); return err }); err != nil {
+	conn, err := retryOnShortage(func() (*net.UDPConn, error) { return net.ListenUDP("udp", address) })
+	if err != nil {
 		return fmt.Errorf("listen.peers: %w", err)
 	}
 	peers := &control.PeerTransport{Number: int(m.Settings.Instance.Number), Conn: conn,
