Tests: one echo node, one start with lists, one request with a time limit

What this work's tests had written again: the node that echoes (echoPath and the one of the targets' test), the start whose discovery tells a list late (TestFirstList and the new start tests), the request for look with a time limit (three times in the tests of the process). Assertions, bounds and waits are as they were.

--- a/cmd/arrowcleat/platform_test.go
+++ b/cmd/arrowcleat/platform_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -143,8 +144,7 @@
 	number := 0
 	send := func(c net.Conn) {
 		number++
-		fmt.Fprintf(c, "GET /look HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %d\r\nX-Qos: look\r\nX-Expires-In-Ms: %d\r\n\r\n", number,
-			timeLimit.Milliseconds())
+		sendLook(c, strconv.Itoa(number), timeLimit)
 	}
 	readAnswer := func(c net.Conn) error {
 		c.SetReadDeadline(time.Now().Add(timeLimit))
@@ -204,8 +204,7 @@
 	p.waitFor("descriptors are exhausted", func() bool { return strings.Contains(p.log.String(), "no connection could be accepted") })
 	queued := p.dial()
 	sent := time.Now()
-	fmt.Fprintf(queued, "GET /look HTTP/1.1\r\nHost: x\r\nX-Trace-Id: 1\r\nX-Qos: look\r\nX-Expires-In-Ms: %d\r\n\r\n",
-		timeLimit.Milliseconds())
+	sendLook(queued, "1", timeLimit)
 	queued.SetReadDeadline(sent.Add(timeLimit + maxLateness))
 	if _, err := http.ReadResponse(bufio.NewReader(queued), nil); err != nil {
 		t.Errorf("a request in the accept queue beside idle clients: %v", err)
--- a/cmd/arrowcleat/process_test.go
+++ b/cmd/arrowcleat/process_test.go
@@ -142,6 +142,12 @@
 	return c
 }
 
+// sendLook sends a request with a time limit on a connection to the marshal.
+func sendLook(c net.Conn, id string, limit time.Duration) {
+	fmt.Fprintf(c, "GET /look HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %s\r\nX-Qos: look\r\nX-Expires-In-Ms: %d\r\n\r\n", id,
+		limit.Milliseconds())
+}
+
 // stop stops the process with SIGSTOP and waits until it has stopped.
 func (p *process) stop() {
 	p.t.Helper()
--- a/cmd/arrowcleat/unread_test.go
+++ b/cmd/arrowcleat/unread_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -22,10 +21,7 @@
 }
 
 // send sends the request.
-func (r unreadRequest) send() {
-	fmt.Fprintf(r.conn, "GET /look HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %s\r\nX-Qos: look\r\nX-Expires-In-Ms: %d\r\n\r\n", r.id,
-		r.limit.Milliseconds())
-}
+func (r unreadRequest) send() { sendLook(r.conn, r.id, r.limit) }
 
 // status waits for the answer to the request and returns its status.
 func (r unreadRequest) status(t *testing.T) int {
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -242,21 +242,12 @@
 // agent.
 func TestFirstList(t *testing.T) {
 	for _, unresponsive := range []bool{false, true} {
-		s := startStreamServer(t)
-		c := config(t, "127.0.0.1:0", s.address, "127.0.0.1:0", s.address)
-		go func() {
-			for a := range s.streams { // until the server is closed
-				if !unresponsive && strings.HasPrefix(a.target, "/v1/servers") {
-					time.Sleep(300 * time.Millisecond)
-					a.send(listText(4, true, host("x", "there", "in_service", 7)))
-				}
-			}
-		}()
-		start := time.Now()
-		m, err := Start(c, slog.New(slog.DiscardHandler))
-		if err != nil {
-			t.Fatal(err)
+		after := 300 * time.Millisecond
+		if unresponsive {
+			after = 0
 		}
+		start := time.Now()
+		m := startWithLists(t, "", host("x", "there", "in_service", 7), after)
 		<-m.Ready()
 		took := time.Since(start)
 		if state, _ := m.Snapshot(); !unresponsive && (len(state.Nodes) != 1 || took < 300*time.Millisecond) {
--- a/internal/serve/harness_test.go
+++ b/internal/serve/harness_test.go
@@ -185,17 +185,22 @@
 	return n == 1
 }
 
-// echoPath is a node that answers every request with its path.
-func echoPath(r *testRig, c net.Conn, b *bufio.Reader) {
-	for {
-		req, _, complete := r.readRequest(b)
-		if !complete {
-			return
+// echo returns a node that answers every request with a description of it.
+func echo(describe func(*http.Request) string) nodeScript {
+	return func(r *testRig, c net.Conn, b *bufio.Reader) {
+		for {
+			req, _, complete := r.readRequest(b)
+			if !complete {
+				return
+			}
+			respond(c, describe(req))
 		}
-		respond(c, req.URL.Path)
 	}
 }
 
+// echoPath is a node that answers every request with its path.
+var echoPath = echo(func(req *http.Request) string { return req.URL.Path })
+
 // respond writes a response with status 200.
 func respond(c net.Conn, body string) {
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
--- a/internal/serve/target_test.go
+++ b/internal/serve/target_test.go
@@ -1,22 +1,13 @@
 package serve
 
 import (
-	"bufio"
-	"net"
+	"net/http"
 	"testing"
 )
 
 // Guards against a request whose path holds a URL reaching its node with another path and another Host.
 func TestTargetReachesNodeUnchanged(t *testing.T) {
-	echoTarget := func(r *testRig, c net.Conn, b *bufio.Reader) {
-		for {
-			req, _, complete := r.readRequest(b)
-			if !complete {
-				return
-			}
-			respond(c, req.Host+" "+req.RequestURI)
-		}
-	}
+	echoTarget := echo(func(req *http.Request) string { return req.Host + " " + req.RequestURI })
 	r := startRig(t, 1, echoTarget, nil, testHooks{})
 	cl := r.client()
 	for _, c := range []struct{ target, want string }{
