--- a/review/6/main.go
+++ b/review/6/main.go
@@ -16,10 +16,10 @@
 // The pages: 32 to 192 MB, 256 to 1,024 descriptors, clients by hundreds.
 const (
 	memoryMB   = 64
-	sockets    = 1024
+	sockets    = 384
 	badClients = 300
-	headBytes  = 20000
-	length     = 15 * time.Second
+	headBytes  = 20400
+	length     = 20 * time.Second
 )
 
 func main() { rig2.Main(run) }
@@ -125,11 +125,15 @@
 
 // endlessHead returns a head of many short lines without its end.
 func endlessHead() string {
-	const letters = "abcdefghijklmnopqrstuvwxyz0123456789"
+	const letters = "abcdefghijklmnopqrstuvwxyz0123456789_.~!#$%&'*+^`|"
 	var b strings.Builder
-	b.WriteString("GET /slot-lookup HTTP/1.1\r\n")
+	b.WriteString("GET /slot-lookup HTTP/1.1\n")
 	for i := 0; b.Len() < headBytes; i++ {
-		fmt.Fprintf(&b, "%c%c%c:\r\n", letters[i%36], letters[i/36%36], letters[i/1296%36])
+		name := string([]byte{letters[i%len(letters)], letters[i/len(letters)%len(letters)]})
+		if more := i / len(letters) / len(letters); more > 0 {
+			name += letters[more-1 : more]
+		}
+		b.WriteString(name + ":\n")
 	}
 	return b.String()
 }
--- a/review/rig-2/process.go
+++ b/review/rig-2/process.go
@@ -177,14 +177,14 @@
 // Signal sends a signal to the process.
 func (m *Marshal) Signal(s syscall.Signal) { m.Cmd.Process.Signal(s) }
 
-// MemoryMB returns the resident memory of the process in MiB, as the system counts it.
+// MemoryMB returns the resident memory of the process in MiB, without the pages of its program and libraries.
 func (m *Marshal) MemoryMB() float64 {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", m.Cmd.Process.Pid))
 	if err != nil {
 		return 0
 	}
 	for line := range strings.Lines(string(text)) {
-		if f := strings.Fields(line); len(f) > 1 && f[0] == "VmRSS:" {
+		if f := strings.Fields(line); len(f) > 1 && f[0] == "RssAnon:" {
 			kb, _ := strconv.ParseFloat(f[1], 64)
 			return kb / 1024
 		}
