--- a/review/9/main.go
+++ b/review/9/main.go
@@ -1,104 +1,112 @@
-// Command 9 holds the marshal up for less than 0.15 s while clients send a request and die.
+// Command 9 plays bad clients that send hundreds of requests at once on a connection and leave, beside usual clients.
 package main
 
 import (
 	"fmt"
 	"io"
+	"strings"
 	"sync"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"arrowcleat/review/rig-2"
 )
 
 const (
-	rounds  = 40
-	leaving = 4                      // clients that die in a round
-	bound   = 100 * time.Millisecond // the page's
-	heldUp  = 140 * time.Millisecond // the page: up to 0.15 s
+	badClients = 10
+	atOnce     = 200
+	bound      = 100 * time.Millisecond // the page's
+	work       = 200 * time.Millisecond // the page: 120 to 210 ms
+	length     = 6 * time.Second
 )
 
 func main() { rig2.Main(run) }
 
 func run(e rig2.Env) (broken string, err error) {
 	var mu sync.Mutex
-	ended := map[string]time.Time{} // when the client of a request died
+	left := map[string]time.Time{} // when the client closed its connection
 	late, first := 0, ""
 	arrived := func(a rig2.Arrival) {
+		client, _, _ := strings.Cut(a.ID, "-")
 		mu.Lock()
 		defer mu.Unlock()
-		at, gone := ended[a.ID]
-		e.Record.Printf("node %s runs %s", a.Node, a.ID)
-		if gone && a.At.Sub(at) > bound {
-			late++
-			text := fmt.Sprintf("%s began at node %s %v after the end of its client", a.ID, a.Node, a.At.Sub(at).Round(time.Millisecond))
-			e.Record.Printf("LATE: %s", text)
-			if first == "" {
-				first = text
-			}
+		at, gone := left[client]
+		if !gone || a.At.Sub(at) <= bound {
+			e.Record.Printf("node %s runs %s", a.Node, a.ID)
+			return
+		}
+		late++
+		text := fmt.Sprintf("%s began at node %s %v after its client had closed the connection", a.ID, a.Node, a.At.Sub(at).Round(time.Millisecond))
+		e.Record.Printf("LATE: %s", text)
+		if first == "" {
+			first = text
 		}
 	}
 	node := func(name string, _ int) *rig2.Node {
-		return &rig2.Node{Name: name, Work: func() time.Duration { return 10 * time.Millisecond }, OnArrival: arrived}
+		return &rig2.Node{Name: name, Work: func() time.Duration { return work }, OnArrival: arrived}
 	}
-	d, err := rig2.StartDeployment(e, rig2.Serving(41), []int{41, 41, 41}, node, rig2.Config{MemoryMB: 96, Sockets: 512, Grace: 1,
-		Classes: []rig2.Class{{Name: "slot-lookup", Repeat: "free", Aim: 1.5, Deadline: 5},
-			{Name: "slot-book", Repeat: "guarded", Group: "zone", Window: 8, Aim: 1.5, Deadline: 4}}})
+	d, err := rig2.StartDeployment(e, rig2.Serving(41), []int{41, 41, 41}, node, rig2.Config{MemoryMB: 96, Sockets: 512, Grace: 0.5,
+		Classes: []rig2.Class{{Name: "policy-check", Repeat: "free", Aim: 1, Deadline: 3},
+			{Name: "approver-alert", Repeat: "single_shot", Aim: 0.8, Deadline: 2}}})
 	if err != nil {
 		return "", err
 	}
-	m, served := d.Marshal, 0
-	for round := range rounds {
-		var conns []*rig2.Conn
-		for i := range leaving { // each has a connection that has served a request
-			c, err := rig2.Dial(m.Address)
+	address, end := d.Marshal.Address, time.Now().Add(length)
+	var wg sync.WaitGroup
+	var served atomic.Int64
+	for i := range 3 {
+		wg.Go(func() { // a usual client
+			c, err := rig2.Dial(address)
+			for k := 0; err == nil && time.Now().Before(end); k++ {
+				id, status := fmt.Sprintf("u%d-%d", i, k), 0
+				e.Record.Printf("client u%d sends %s", i, id)
+				status, _, _, err = c.Ask(rig2.Request{ID: id, Class: "policy-check", ExpiresMs: 2500})
+				e.Record.Printf("client u%d got for %s: %d %v", i, id, status, err)
+				if status == 200 {
+					served.Add(1)
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	for i := range badClients {
+		wg.Go(func() {
+			time.Sleep(time.Duration(500+200*i) * time.Millisecond)
+			c, err := rig2.Dial(address)
 			if err != nil {
-				return "", err
+				return
 			}
-			id := fmt.Sprintf("w%d-%d", round, i)
-			e.Record.Printf("client %d sends %s", i, id)
-			status, text, _, err := c.Ask(rig2.Request{ID: id, Class: "slot-book", Mark: "m" + id, Body: "{}", ExpiresMs: 3500})
-			e.Record.Printf("client %d got for %s: %d %q %v", i, id, status, text, err)
-			if status == 200 {
-				served++
+			defer c.Close()
+			name := fmt.Sprintf("b%d", i)
+			var all strings.Builder
+			for k := range atOnce {
+				all.WriteString(rig2.Request{ID: fmt.Sprintf("%s-%d", name, k), Class: "approver-alert", Mark: "m" + name, ExpiresMs: 1900}.Text())
+			}
+			io.WriteString(c, all.String())
+			e.Record.Printf("client %s has sent %d requests at once", name, atOnce)
+			time.Sleep(50 * time.Millisecond)
+			if !e.Trouble { // it stays and reads what it gets
+				c.SetReadDeadline(end)
+				io.Copy(io.Discard, c)
+				return
 			}
-			conns = append(conns, c)
-		}
-		time.Sleep(30 * time.Millisecond)
-		if e.Trouble {
-			m.Signal(syscall.SIGSTOP)
-			time.Sleep(2 * time.Millisecond)
-		}
-		stopped := time.Now()
-		for i, c := range conns {
-			id := fmt.Sprintf("d%d-%d", round, i)
-			io.WriteString(c, rig2.Request{ID: id, Class: "slot-book", Mark: "m" + id, Body: `{"place": 1}`, ExpiresMs: 3500}.Text())
-			e.Record.Printf("client %d has sent %s", i, id)
-		}
-		time.Sleep(2 * time.Millisecond)
-		for i, c := range conns {
-			id := fmt.Sprintf("d%d-%d", round, i)
 			mu.Lock()
-			ended[id] = time.Now()
+			left[name] = time.Now()
 			mu.Unlock()
-			c.SetLinger(0) // a process that dies resets its connections
 			c.Close()
-			e.Record.Printf("client %d has died", i)
-		}
-		time.Sleep(time.Until(stopped.Add(heldUp)))
-		if e.Trouble {
-			m.Signal(syscall.SIGCONT)
-		}
-		time.Sleep(100 * time.Millisecond)
+			e.Record.Printf("client %s has closed its connection", name)
+		})
 	}
+	wg.Wait()
+	time.Sleep(time.Second)
 	mu.Lock()
 	defer mu.Unlock()
-	e.Record.Printf("%d served; %d of %d attempts began late", served, late, rounds*leaving)
-	if served == 0 {
-		return "", fmt.Errorf("clients got no answer")
+	e.Record.Printf("%d served to usual clients; %d attempts began late", served.Load(), late)
+	if served.Load() == 0 {
+		return "", fmt.Errorf("usual clients got no answer")
 	}
 	if first != "" {
-		first = fmt.Sprintf("%d of %d requests were sent to nodes for clients that had gone; the first: %s", late, rounds*leaving, first)
+		first = fmt.Sprintf("%d attempts for clients that had gone; the first: %s", late, first)
 	}
 	return first, nil
 }
--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -13,6 +13,7 @@
 // Request is a request of a client.
 type Request struct {
 	ID, Class, Key, Mark string // a mark makes it a POST
+	Post                 bool   // a POST without a mark
 	ExpiresMs            int
 	Body                 string
 	More                 string // further header lines, each with its line end
@@ -22,7 +23,7 @@
 func (q Request) Text() string {
 	var b strings.Builder
 	method := "GET"
-	if q.Mark != "" {
+	if q.Mark != "" || q.Post {
 		method = "POST"
 	}
 	fmt.Fprintf(&b, "%s /%s HTTP/1.1\r\nHost: service.internal\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Customer: one\r\n", method,
@@ -34,6 +35,9 @@
 	if q.Mark != "" {
 		fmt.Fprintf(&b, "Idempotency-Key: %s\r\nContent-Length: %d\r\n", q.Mark, len(q.Body))
 	}
+	if q.Mark == "" && q.Post {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(q.Body))
+	}
 	b.WriteString(q.More + "\r\n" + q.Body)
 	return b.String()
 }
--- a/review/rig-2/node.go
+++ b/review/rig-2/node.go
@@ -21,6 +21,7 @@
 	Work          func() time.Duration // how long a request takes
 	Body          func(id string) []byte
 	OnArrival     func(Arrival)
+	OnAnswer      func(id string) // before its first byte; may be nil
 
 	ln net.Listener
 }
@@ -65,6 +66,9 @@
 		if n.Body != nil {
 			body = n.Body(id)
 		}
+		if n.OnAnswer != nil {
+			n.OnAnswer(id)
+		}
 		if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
 			return
 		}
