--- a/review/rig-2/control.go
+++ b/review/rig-2/control.go
@@ -82,6 +82,7 @@
 		fmt.Fprintf(c, "HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, len(answer), answer)
 		return
 	}
+	s.rec.Printf("%s: a stream is opened", s.name)
 	lines := make(chan string, 100)
 	s.mu.Lock()
 	s.conns[lines] = true
@@ -195,3 +196,10 @@
 	a.told = r
 	a.publish(a.line())
 }
+
+// TellPart tells only the first bytes of the present state, as a line.
+func (a *ReleaseAPI) TellPart(bytes int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.publish(a.line()[:bytes])
+}
