--- a/review/rig-3/platform.go
+++ b/review/rig-3/platform.go
@@ -197,7 +197,6 @@
 	state       string // testing, recalling, live or recalled
 	cap         float64
 	since       time.Time
-	told        int // counts repeats of the same state
 }
 
 func (s stage) json() string {
