--- a/review/8/main.go
+++ b/review/8/main.go
@@ -1,11 +1,9 @@
-// Command 8 offers a build whose news comes late while the build before it is still on trial, and looks where the keys go
-// that the newer build has answered.
+// Command 6 plays bad clients that send the id of a usual client's open request, again as soon as they are turned away.
 package main
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"strings"
+	"io"
 	"sync"
 	"time"
 
@@ -13,109 +11,154 @@
 )
 
 const (
-	clients       = 12
-	keysPerClient = 3
-	length        = 14 * time.Second
-	offeredAfter  = 5 * time.Second
-	listedAfter   = 1500 * time.Millisecond // since it was offered: the node has started and is listed
-	newsLate      = 5 * time.Second         // the page: 2.5 to 7.4 s
-	newsUsual     = 300 * time.Millisecond  // the page: 0.1 to 0.85 s
+	badClients = 30
+	requests   = 60
+	work       = 150 * time.Millisecond // the page: 120 to 210 ms
 )
 
 func main() { rig2.Main(run) }
 
+// request is what is known of a usual client's request.
+type request struct {
+	answered   time.Time   // when a node began its first answer
+	ran        []time.Time // when it reached a node whole
+	copiesSent []time.Time // when copies that were served had been sent
+}
+
 func run(e rig2.Env) (broken string, err error) {
-	node := func(name string, build int) *rig2.Node {
-		return &rig2.Node{Name: name, Work: func() time.Duration { return 20 * time.Millisecond },
-			Body:      func(id string) []byte { return fmt.Appendf(nil, "%d made for %s", build, id) },
-			OnArrival: func(a rig2.Arrival) { e.Record.Printf("node %s of build %d runs %s of %s", name, build, a.ID, a.Key) }}
+	var mu sync.Mutex
+	known := map[string]*request{}
+	open := "" // the id of the request that is open
+	node := func(name string, _ int) *rig2.Node {
+		return &rig2.Node{Name: name, Work: func() time.Duration { return work }, OnArrival: func(a rig2.Arrival) {
+			e.Record.Printf("node %s runs %s", a.Node, a.ID)
+			mu.Lock()
+			defer mu.Unlock()
+			if r := known[a.ID]; r != nil {
+				if len(r.ran) == 0 {
+					open = a.ID // from now on bad clients know it
+				}
+				r.ran = append(r.ran, a.At)
+			}
+		}, OnAnswer: func(id string) {
+			mu.Lock()
+			defer mu.Unlock()
+			if r := known[id]; r != nil && r.answered.IsZero() {
+				r.answered = time.Now()
+			}
+		}}
 	}
-	next, err := rig2.StartNode(node("s-6", 43), 43)
+	d, err := rig2.StartDeployment(e, rig2.Serving(41), []int{41, 41, 41}, node, rig2.Config{MemoryMB: 96, Sockets: 512, Grace: 0.5,
+		Classes: []rig2.Class{{Name: "policy-check", Repeat: "free", Aim: 1, Deadline: 3},
+			{Name: "approver-alert", Repeat: "single_shot", Aim: 0.8, Deadline: 2}}})
 	if err != nil {
 		return "", err
 	}
-	onTrial := rig2.Release{Build: 42, Wave: 2, State: "testing", Cap: 0.56, Since: time.Now().Add(-time.Second)}
-	d, err := rig2.StartDeployment(e, onTrial, []int{41, 41, 41, 42, 42, 42}, node, rig2.Config{MemoryMB: 96, Sockets: 512,
-		Grace: 0.5, ForwardOnly: true, Classes: []rig2.Class{{Name: "policy-check", Repeat: "free", Aim: 1, Deadline: 3}}})
-	if err != nil {
-		return "", err
+	address := d.Marshal.Address
+	alert := func(id string) rig2.Request {
+		return rig2.Request{ID: id, Class: "approver-alert", ExpiresMs: 1900, Post: true}
 	}
-	start := time.Now()
-	end := start.Add(length)
-	go func() {
-		time.Sleep(offeredAfter)
-		offered := rig2.Release{Build: 43, State: "testing", Cap: 0.042, Since: time.Now()}
-		e.Record.Printf("build 43 is offered")
-		late := newsUsual
-		if e.Trouble {
-			late = newsLate
-		}
-		go func() {
-			time.Sleep(late)
-			d.ReleaseAPI.Tell(offered)
-		}()
-		time.Sleep(listedAfter)
-		next.BornMs = time.Now().Add(-900 * time.Millisecond).UnixMilli()
-		d.Discovery.Change(next)
-	}()
-
-	var mu sync.Mutex
-	back, newer, answers, first := 0, 0, 0, ""
+	done := make(chan struct{})
 	var wg sync.WaitGroup
-	for i := range clients {
-		wg.Go(func() { // each client has keys of its own and asks one thing at a time
-			newest := map[string]int{} // the newest build that has answered a key
-			var c *rig2.Conn
-			for k := 0; time.Now().Before(end); k++ {
-				time.Sleep(time.Duration(20+rand.IntN(60)) * time.Millisecond)
-				if c == nil {
-					var err error
-					if c, err = rig2.Dial(d.Marshal.Address); err != nil {
-						c = nil
+	turnedAway := 0
+	if e.Trouble {
+		for i := range badClients {
+			wg.Go(func() {
+				var c *rig2.Conn
+				for {
+					select {
+					case <-done:
+						return
+					default:
+					}
+					mu.Lock()
+					id := open
+					mu.Unlock()
+					if id == "" {
+						time.Sleep(500 * time.Microsecond)
 						continue
 					}
-				}
-				key, id := fmt.Sprintf("key-%d-%d", i, k%keysPerClient), fmt.Sprintf("r%d-%d", i, k)
-				e.Record.Printf("client %d sends %s of %s", i, id, key)
-				status, body, keep, err := c.Ask(rig2.Request{ID: id, Class: "policy-check", Key: key, ExpiresMs: 2500})
-				e.Record.Printf("client %d got for %s of %s: %d %q %v", i, id, key, status, body, err)
-				build := 0
-				if status == 200 && strings.HasSuffix(body, " made for "+id) {
-					fmt.Sscanf(body, "%d", &build)
-				}
-				mu.Lock()
-				if build > 0 {
-					answers++
-				}
-				if build == 43 {
-					newer++
-				}
-				// Build 43 is never sent back here. Build 42 is not on trial any more once 43 is offered: what it answered
-				// does not count.
-				if build > 0 && build < 43 && newest[key] == 43 {
-					back++
-					text := fmt.Sprintf("%s of %s went to build %d after build 43 had answered that key", id, key, build)
-					e.Record.Printf("BACK: %s", text)
-					if first == "" {
-						first = text
+					if c == nil {
+						var err error
+						if c, err = rig2.Dial(address); err != nil {
+							c = nil
+							continue
+						}
+					}
+					c.SetDeadline(time.Now().Add(4 * time.Second))
+					_, err := io.WriteString(c, alert(id).Text())
+					sent := time.Now()
+					status, text, keep := 0, "", false
+					if err == nil {
+						status, text, keep, err = c.Answer()
+					}
+					mu.Lock()
+					if status == 200 {
+						known[id].copiesSent = append(known[id].copiesSent, sent)
+						e.Record.Printf("bad client %d got for its copy of %s: 200 %q", i, id, text)
+					} else {
+						turnedAway++
+					}
+					mu.Unlock()
+					if err != nil || !keep {
+						c.Close()
+						c = nil
 					}
 				}
-				mu.Unlock()
-				newest[key] = max(newest[key], build)
-				if err != nil || !keep {
-					c.Close()
-					c = nil
-				}
+			})
+		}
+	}
+	c, err := rig2.Dial(address)
+	if err != nil {
+		return "", err
+	}
+	served := 0
+	for k := range requests {
+		id := fmt.Sprintf("u-%d", k)
+		mu.Lock()
+		known[id] = &request{}
+		mu.Unlock()
+		e.Record.Printf("usual client sends %s", id)
+		status, text, keep, err := c.Ask(alert(id))
+		mu.Lock()
+		open = ""
+		mu.Unlock()
+		e.Record.Printf("usual client got for %s: %d %q %v", id, status, text, err)
+		if status == 200 {
+			served++
+		}
+		if err != nil || !keep {
+			c.Close()
+			if c, err = rig2.Dial(address); err != nil {
+				return "", err
 			}
-		})
+		}
+		time.Sleep(100 * time.Millisecond)
 	}
+	close(done)
 	wg.Wait()
-	e.Record.Printf("%d answers, %d of build 43; %d times a key went back", answers, newer, back)
-	if newer == 0 {
-		return "", fmt.Errorf("build 43 answered nothing")
+	mu.Lock()
+	defer mu.Unlock()
+	twice, first := 0, ""
+	for k := range requests {
+		id := fmt.Sprintf("u-%d", k)
+		r := known[id]
+		for _, sent := range r.copiesSent {
+			if len(r.ran) > 1 && sent.Before(r.answered) {
+				twice++
+				if first == "" {
+					first = fmt.Sprintf("%s ran %d times, and a bad client was served for a copy that it had sent %v before the first answer began", id, len(r.ran), r.answered.Sub(sent))
+				}
+				break
+			}
+		}
+	}
+	e.Record.Printf("%d of %d served, copies turned away %d times; %d requests ran twice", served, requests, turnedAway, twice)
+	if served == 0 {
+		return "", fmt.Errorf("the usual client got no answer")
 	}
 	if first != "" {
-		first = fmt.Sprintf("%d times a key went back; the first time %s", back, first)
+		first = fmt.Sprintf("%d of %d requests ran twice; the first: %s", twice, requests, first)
 	}
 	return first, nil
 }
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,7 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p bin/review-2
-for n in 6 7 8 9 10; do
+for n in 7 8 9 10; do
 	[ ! -f "review/$n/main.go" ] || go build -o "bin/review-2/$n" "./review/$n"
 done
+go build -o bin/review-2/rig-3 ./review/rig-3
