A missed build no longer makes marshals tell counts below 0 and exit

What callers saw: a marshal that missed one build while the platform was silent, and heard of its node after the next build had been announced, panicked ("gamma: alpha <= 0") and exited with all that it had taken. The marshals that it tells its counts panicked too.

Cause: the baseline's counts from when the newest build came were kept without their build, and taken off the counts of whichever build was the baseline later. With builds 41, 42 (missed), 43 that is the counts of 41 off those of 42, which has none. What a peer tells was added up unchecked, and a Beta distribution with a parameter below 0 panics. A second way to it was found while testing: a baseline known by its nodes alone is forgotten, and the build before it comes back with counts that begin at 0.

Change: the evidence on a build and its value when the newest build came are one record by build, which comes and goes as a whole, so no difference is below 0. The counts are in balance/counts.go.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -622,7 +622,7 @@
 		olderNodes = olderNodes || !expired && n.Ver < b.newestVer && (n.Health != Gone || n.inFlight > 0)
 		return expired
 	})
-	maps.DeleteFunc(b.posteriors, func(ver int, _ []posterior) bool { return ver < baseline })
+	maps.DeleteFunc(b.evidence, func(ver int, _ *buildEvidence) bool { return ver < baseline })
 	maps.DeleteFunc(b.exposures, func(e exposureKey, _ *slidingSum) bool { return b.announced && e.ver < b.newestVer })
 	if b.announced && b.phase == Released && !olderNodes && len(b.minVerByKey) > 0 {
 		b.minVer = b.newestVer
--- a/balance/bench_test.go
+++ b/balance/bench_test.go
@@ -88,7 +88,7 @@
 func TestStateBounded(t *testing.T) {
 	c := newBenchHost(20, true)
 	size := func() int {
-		return len(c.b.nodes) + len(c.b.nodesByID) + len(c.b.minVerByKey) + len(c.b.posteriors) + len(c.b.exposures)
+		return len(c.b.nodes) + len(c.b.nodesByID) + len(c.b.minVerByKey) + len(c.b.evidence) + len(c.b.exposures)
 	}
 	heap := func() int64 {
 		runtime.GC()
--- a/balance/state.go
+++ b/balance/state.go
@@ -6,8 +6,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"strconv"
-	"strings"
 
 	"arrowcleat/internal/pcg"
 )
@@ -83,10 +81,9 @@
 	exposures       map[exposureKey]*slidingSum // recent dispatches
 	minVerByKey     map[string]int              // the newest build that has answered a key; the key goes to no earlier one
 	minVer          int                         // the same for all keys, once no node of an earlier build is left
-	posteriors      map[int][]posterior         // by build: one for each operation and one for all together
+	evidence        map[int]*buildEvidence      // by build
 	periodStats     map[exposureKey]posterior   // the last build statistics of the platform
 	fleetPosteriors [2][]posterior              // evidence of the fleet on the newest build and the baseline
-	baselineAtStart []posterior                 // the baseline's posteriors when the newest build came
 	peers           map[int]peerCounts
 	nextPeerReport  float64 // clock time of the next message to the peers
 	firstAnswerAt   float64 // clock time at which the newest build first answered
@@ -240,24 +237,6 @@
 	}
 }
 
-// BuildStats receives the platform's counts of all marshals' dispatches for one build and operation.
-func (b *Balancer) BuildStats(ver, op, samples, errors int, meanMs, ageMs float64) {
-	if op < len(b.ops) {
-		if ver == b.newestVer && samples > 0 { // its first answers, whichever marshal got them
-			b.firstAnswerAt = min(b.firstAnswerAt, b.host.Now()-ageMs-b.settings.number("rollout.metrics-period-ms", 0))
-		}
-		b.periodStats[exposureKey{ver, op}] = posterior{successes: float64(samples - errors), failures: float64(errors),
-			mean: meanMs}
-	}
-}
-
-// PeerMessage receives the counts of another marshal. Messages that can't be parsed are dropped.
-func (b *Balancer) PeerMessage(from int, text string) {
-	if p, ok := parseCounts(text, len(b.ops)); ok {
-		b.peers[from] = p
-	}
-}
-
 // ProbeEnded reports the outcome of a probe. It is ignored: no decision has been shown to gain from it, see
 // docs/design.md.
 func (b *Balancer) ProbeEnded(nodeID uint32, outcome Outcome, tookMs float64, report map[string]float64) {
@@ -297,7 +276,7 @@
 	n := len(b.ops)
 	b.nodes, b.lateShares, b.invocations = map[uint32]*node{}, map[int]*float64{}, map[string]*invocation{}
 	b.accepted, b.exposures, b.minVerByKey = map[int]*slidingSum{}, map[exposureKey]*slidingSum{}, map[string]int{}
-	b.periodStats, b.peers, b.posteriors = map[exposureKey]posterior{}, map[int]peerCounts{}, map[int][]posterior{}
+	b.periodStats, b.peers, b.evidence = map[exposureKey]posterior{}, map[int]peerCounts{}, map[int]*buildEvidence{}
 	b.lastCheck, b.usualLatency, b.recentLatency, b.latencySamples = h.Now(), make([]float64, n),
 		make([]float64, n), make([]float64, n)
 	return b
@@ -462,7 +441,10 @@
 // resetNewest resets the evidence on the newest build, which is now ver.
 func (b *Balancer) resetNewest(ver int, now float64) {
 	b.trialShare, b.firstAnswerAt, b.degradedSince = 0, math.Inf(1), now
-	b.baselineAtStart = slices.Clone(b.posterior(b.baselineBefore(ver)))
+	b.posterior(b.baselineBefore(ver)) // the baseline is known from now on, whatever becomes of its nodes
+	for _, e := range b.evidence {
+		e.atNewestStart = slices.Clone(e.posteriors)
+	}
 	b.fleetPosteriors = [2][]posterior{make([]posterior, len(b.ops)+1), make([]posterior, len(b.ops)+1)}
 }
 
@@ -551,7 +533,7 @@
 			baseline = max(baseline, n.Ver)
 		}
 	}
-	for v := range b.posteriors {
+	for v := range b.evidence {
 		if v < ver {
 			baseline = max(baseline, v)
 		}
@@ -559,78 +541,6 @@
 	return baseline
 }
 
-// peerCounts is the counts of another marshal: for each operation the successes and failures of its newest build, then
-// those of the baseline over the same time.
-type peerCounts struct {
-	ver    int
-	counts [][4]float64
-}
-
-// ownCounts is this marshal's counts in the form of peerCounts.
-func (b *Balancer) ownCounts(baselineVer int) [][4]float64 {
-	c := make([][4]float64, len(b.ops))
-	newest, baseline := b.posterior(b.newestVer), b.posterior(baselineVer)
-	for op := range c {
-		c[op] = [4]float64{newest[op].successes, newest[op].failures, baseline[op].successes, baseline[op].failures}
-		if op < len(b.baselineAtStart) {
-			c[op][2] -= b.baselineAtStart[op].successes
-			c[op][3] -= b.baselineAtStart[op].failures
-		}
-	}
-	return c
-}
-
-// countsMessage is the message with ownCounts that is sent to the peers.
-func (b *Balancer) countsMessage(baselineVer int) string {
-	text := strconv.AppendInt(nil, int64(b.newestVer), 10)
-	for _, c := range b.ownCounts(baselineVer) {
-		for _, v := range c {
-			text = strconv.AppendFloat(append(text, ' '), v, 'f', -1, 64)
-		}
-	}
-	return string(text)
-}
-
-// parseCounts parses a peer's message for a number of operations.
-func parseCounts(text string, ops int) (p peerCounts, ok bool) {
-	f := strings.Fields(text)
-	if len(f) != 1+4*ops {
-		return p, false
-	}
-	v := make([]float64, len(f))
-	for i := range f {
-		var err error
-		if v[i], err = strconv.ParseFloat(f[i], 64); err != nil {
-			return p, false
-		}
-	}
-	p.ver = int(v[0])
-	for op := range ops {
-		p.counts = append(p.counts, [4]float64(v[1+4*op:]))
-	}
-	return p, true
-}
-
-// aggregateCounts adds up the counts of the peers with the same newest build and those of this marshal.
-func (b *Balancer) aggregateCounts(baselineVer int) (fleet [2][]posterior) {
-	fleet = [2][]posterior{make([]posterior, len(b.ops)+1), make([]posterior, len(b.ops)+1)}
-	add := func(counts [][4]float64) {
-		for op, c := range counts {
-			for _, o := range []int{op, len(b.ops)} {
-				fleet[0][o].add(posterior{successes: c[0], failures: c[1]}, 1)
-				fleet[1][o].add(posterior{successes: c[2], failures: c[3]}, 1)
-			}
-		}
-	}
-	add(b.ownCounts(baselineVer))
-	for from := range int(b.settings.number("marshals", 1)) {
-		if p, ok := b.peers[from]; ok && p.ver == b.newestVer {
-			add(p.counts)
-		}
-	}
-	return fleet
-}
-
 // slidingSum is a sum over a sliding time window.
 type slidingSum struct {
 	times  []float64
@@ -690,11 +600,14 @@
 }
 
 // posterior is the evidence on a build, by operation and for all together in the last element.
-func (b *Balancer) posterior(ver int) []posterior {
-	if b.posteriors[ver] == nil {
-		b.posteriors[ver] = make([]posterior, len(b.ops)+1)
+func (b *Balancer) posterior(ver int) []posterior { return b.evidenceOn(ver).posteriors }
+
+// evidenceOn is the evidence on a build, which it creates if needed.
+func (b *Balancer) evidenceOn(ver int) *buildEvidence {
+	if b.evidence[ver] == nil {
+		b.evidence[ver] = newBuildEvidence(len(b.ops))
 	}
-	return b.posteriors[ver]
+	return b.evidence[ver]
 }
 
 // costOrOne is the cost of an invocation, 1 if it is not known.
