Keys go forward among any number of builds on trial

What callers saw: while the news of build 43 was late and 42 was on trial, keys that 43 had answered went back to 42, over a hundred in 5 s.

Cause: the build that last answered a key was compared with nodes of the baseline only; nodes of any build on trial were candidates as they were, and a bound key is sent to just these. The index compared the bound with the oldest build of the baseline, so it passed an older trial build too once the later build's nodes had left.

Change: the bound is compared with each node before its class is asked, and the index leaves to the scan any key with a bound above a build that it holds. A key whose build has no node left waits.

TestIndexed draws five builds in place of three, so that it sees more builds on trial.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -131,9 +131,10 @@
 	trial, baseline, indexed := b.indexedCandidates(inv, now)
 	if !indexed {
 		trial.nodes, baseline.nodes = b.scratch[0][:0], b.scratch[1][:0]
-		minVer, lastVer, isTrial, mayExpose := max(b.minVer, b.minVerByKey[inv.key]), -1, false, false
+		minVer, lastVer, isTrial, mayExpose := b.minVerOf(inv.key), -1, false, false
 		for _, n := range b.nodesByID {
-			if n.Health != Serving || now < n.avoidUntil || !b.mayRepeatOn(inv, n, now) || b.warmUpBudgetSpent(n, now) {
+			if n.Health != Serving || n.Ver < minVer || now < n.avoidUntil || !b.mayRepeatOn(inv, n, now) ||
+				b.warmUpBudgetSpent(n, now) {
 				continue
 			}
 			if n.Ver != lastVer { // most nodes run the same build as the node before them
@@ -144,7 +145,7 @@
 				if mayExpose {
 					trial.nodes = append(trial.nodes, n)
 				}
-			} else if minVer <= n.Ver || inv.key == "" {
+			} else {
 				baseline.nodes = append(baseline.nodes, n)
 			}
 		}
@@ -194,7 +195,7 @@
 	if inv.key == "" || !b.cfg.forwardOnly {
 		return b.rng.Float64()
 	}
-	if max(b.minVer, b.minVerByKey[inv.key]) >= b.newestVer {
+	if b.minVerOf(inv.key) >= b.newestVer {
 		return -1
 	}
 	return hashToUnit(inv.key)
--- a/balance/index.go
+++ b/balance/index.go
@@ -267,10 +267,9 @@
 func (b *Balancer) indexedCandidates(inv *invocation, now float64) (trial, baseline candidates, ok bool) {
 	x := &b.index
 	b.refreshIndex(now)
-	minVer := max(b.minVer, b.minVerByKey[inv.key])
 	if x.fullScan || len(inv.dispatches) > 0 || b.connectFailureRate >= connectFailureLimit ||
 		x.trial.minVer < x.trial.maxVer ||
-		inv.key != "" && minVer > x.baseline.minVer || len(x.trial.zones)+len(x.baseline.zones) > 15 {
+		b.minVerOf(inv.key) > min(x.baseline.minVer, x.trial.minVer) || len(x.trial.zones)+len(x.baseline.zones) > 15 {
 		return trial, baseline, false
 	}
 	drop := func(n *node) bool { return now < n.avoidUntil || b.warmUpBudgetSpent(n, now) }
--- a/balance/index_test.go
+++ b/balance/index_test.go
@@ -61,7 +61,7 @@
 		}
 		list := func() (nodes []Node) {
 			for id := range rapid.IntRange(1, 12).Draw(t, "nodes") {
-				nodes = append(nodes, Node{ID: uint32(id + 1), Size: 1, Ver: rapid.IntRange(1, 3).Draw(t, "ver"), Zone: id % 3,
+				nodes = append(nodes, Node{ID: uint32(id + 1), Size: 1, Ver: rapid.IntRange(1, 5).Draw(t, "ver"), Zone: id % 3,
 					Health:  rapid.SampledFrom([]Health{Serving, Serving, Serving, Draining, Gone}).Draw(t, "health"),
 					Started: rapid.SampledFrom([]float64{0, 0, hosts[0].now - 3000}).Draw(t, "started")})
 			}
@@ -100,7 +100,7 @@
 				each(func(h *recordingHost) { h.b.NodesListed(true, nodes) })
 			},
 			"stage": func(t *rapid.T) {
-				ver, phase := rapid.IntRange(1, 3).Draw(t, "ver"),
+				ver, phase := rapid.IntRange(1, 5).Draw(t, "ver"),
 					rapid.SampledFrom([]Phase{OnTrial, Released, RollingBack}).Draw(t, "phase")
 				each(func(h *recordingHost) { h.b.StageUpdate(ver, 1, phase, 0.5, 0, false) })
 			},
--- a/balance/state.go
+++ b/balance/state.go
@@ -466,6 +466,14 @@
 	return b.lateShares[zone]
 }
 
+// minVerOf is the oldest build that invocations of a key may go to, 0 for those without a key.
+func (b *Balancer) minVerOf(key string) int {
+	if key == "" {
+		return 0
+	}
+	return max(b.minVer, b.minVerByKey[key])
+}
+
 // exposureScope is the scope of the cap: the operation, or -1 for all together.
 func (b *Balancer) exposureScope(op int) int {
 	if b.cfg.capPerOperation {
