A part of a message ends its stream, and news is heard again

What callers saw: after one cut line of the release API the marshal heard nothing more, and went on sending to a build that was sent back, to the end of the process.

Cause: the reader counted braces and took line ends for white space, also within a string, so that a cut object swallowed all that followed, while each sign of life kept the read alive. Discovery's stream was read by the same code. On the same path a damaged event was taken for one that does not concern marshals, or for a sign of life, and its news lost. In the line protocols a line cut off by the end of its connection counted as whole, and a part of a line or list was waited on for ever; the saved list took a last line without its end.

Change: the release API's stream is read by lines, discovery's with the standard JSON decoder, which fails at the first byte that can't go on. A message that has begun must be whole within the stream's timeout, whatever signs of life come (internal/deadline, also for lines and lists of the line protocols). Only empty objects and blank lines are signs of life; an event without a type, or of another type with a state in it, ends the stream, and so does a list without whole, seq or hosts. A line needs its end. A stream that ends is opened anew as after any break.

On the code before, TestCutObjectEndsStream (by way of a shim for the new call), TestDamagedEventReopensStream, TestCutListReopensStream, TestCutStageIsNotApplied, TestCutMessageEndsConnection and the new case of TestRestartFromDisk fail; all pass after. TestObjects, TestInvalidStream and TestSilentStream run unchanged but for the call.

--- a/internal/control/lines.go
+++ b/internal/control/lines.go
@@ -6,11 +6,15 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"net"
 	"net/textproto"
 	"strconv"
 	"strings"
+	"time"
+
+	"arrowcleat/internal/deadline"
 )
 
 // MaxLineBytes is the maximum length of a line, without its CRLF.
@@ -99,17 +103,23 @@
 var phaseNames = []string{"trial", "back", "released", "withdrawn"}
 var verdictNames = []string{"none", "on", "hold", "back"}
 
+// messageTimeout is the time from the first byte of a message to its last. The services write a message in one piece.
+const messageTimeout = 3 * time.Second
+
 // LineConn is a connection of a line protocol. A line longer than MaxLineBytes is a read error, so that a peer can't
-// make the reader buffer an endless line.
+// make the reader buffer an endless line. So is a line that is cut off by the end of the connection, or that has begun and
+// isn't whole within messageTimeout.
 type LineConn struct {
 	*textproto.Conn
-	bounded *boundedConn
+	bounded  *boundedConn
+	deadline *deadline.Conn
 }
 
 // NewLineConn returns a LineConn on a connection.
 func NewLineConn(nc net.Conn) *LineConn {
-	bounded := &boundedConn{Conn: nc}
-	return &LineConn{textproto.NewConn(bounded), bounded}
+	timed := &deadline.Conn{Conn: nc, MessageTimeout: messageTimeout}
+	bounded := &boundedConn{Conn: timed}
+	return &LineConn{textproto.NewConn(bounded), bounded, timed}
 }
 
 // boundedConn fails reads once the allowance for the current line is used up.
@@ -128,8 +138,31 @@
 	return n, err
 }
 
-// NextLine reads a line.
+// NextLine reads the first line of a message, for which it waits as long as it takes.
 func (l *LineConn) NextLine() (string, error) {
 	l.bounded.remaining = MaxLineBytes + 2 // with CRLF
-	return l.ReadLine()
+	if _, err := l.R.Peek(1); err != nil {
+		return "", err
+	}
+	return l.readLine()
+}
+
+// FollowingLine reads a further line of a message, which must follow at once.
+func (l *LineConn) FollowingLine() (string, error) {
+	l.bounded.remaining = MaxLineBytes + 2
+	return l.readLine()
+}
+
+// readLine reads a line within messageTimeout.
+func (l *LineConn) readLine() (string, error) {
+	l.deadline.BeginMessage()
+	line, err := l.R.ReadString('\n')
+	l.deadline.EndMessage()
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF // the line is cut off
+	}
+	if err != nil {
+		return "", err
+	}
+	return strings.TrimSuffix(strings.TrimSuffix(line, "\n"), "\r"), nil
 }
--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -175,7 +175,7 @@
 		}
 		var entries []NodeEntry
 		for range count {
-			text, err := conn.NextLine()
+			text, err := conn.FollowingLine()
 			if err != nil {
 				return err
 			}
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -198,7 +198,8 @@
 				target += "&since=" + strconv.FormatInt(c.seq, 10)
 			}
 		})
-		return rest.Follow(nc, s.address, target, listTimeout, func(text []byte) (err error) {
+		stream := rest.Stream{Address: s.address, Target: target, Layout: rest.AnyLayout, Timeout: listTimeout}
+		return stream.Follow(nc, func(text []byte) (err error) {
 			j := gjson.ParseBytes(text)
 			if !s.deliver(func() { err = c.handleList(j) }) {
 				return errSuperseded
@@ -208,13 +209,20 @@
 	})
 }
 
+// isKeepAlive reports whether an object of a stream has no members and says only that the stream is alive.
+func isKeepAlive(j gjson.Result) bool { return len(j.Map()) == 0 }
+
 // handleList delivers a list, whole or with changes. Sequence numbers may skip values, so that a gap can't be detected.
 // A number lower than the last one belongs to another sequence: the error closes the stream, and the next request is
 // for the whole list.
 func (c *DiscoveryClient) handleList(j gjson.Result) error {
-	if !j.Get("hosts").Exists() && !j.Get("seq").Exists() { // a keep-alive
+	if isKeepAlive(j) {
 		return nil
 	}
+	if !j.Get("whole").IsBool() {
+		c.hasList = false
+		return fmt.Errorf("discovery: whole is missing or not a boolean in %.120q", j.Raw)
+	}
 	entries, err := c.reader.entries(j)
 	if err != nil {
 		c.hasList = false
--- a/internal/platform/rollout.go
+++ b/internal/platform/rollout.go
@@ -93,7 +93,8 @@
 // Run follows the events until the context ends.
 func (c *RolloutClient) Run(ctx context.Context) {
 	c.keepConnected(ctx, "release API", c.Log, func(s *session, nc net.Conn) error {
-		return rest.Follow(nc, s.address, apiBase+"/events", eventsTimeout, func(text []byte) (err error) {
+		stream := rest.Stream{Address: s.address, Target: apiBase + "/events", Layout: rest.ObjectPerLine, Timeout: eventsTimeout}
+		return stream.Follow(nc, func(text []byte) (err error) {
 			if !s.deliver(func() { err = c.handleEvent(gjson.ParseBytes(text)) }) {
 				return errSuperseded
 			}
@@ -102,13 +103,20 @@
 	})
 }
 
-// handleEvent processes an object of the event stream.
+// handleEvent processes an object of the event stream. An event of another type does not concern marshals, unless it
+// holds a state: then its type was damaged on the way, and ignoring it would lose news that is not repeated.
 func (c *RolloutClient) handleEvent(j gjson.Result) error {
-	if j.Get("type").Str != "ROLLOUT" { // a keep-alive, or an event that does not concern marshals
+	kind, state := j.Get("type"), j.Get("object")
+	switch {
+	case isKeepAlive(j):
+		return nil
+	case kind.Type != gjson.String, kind.Str != "ROLLOUT" && state.Get("Revision").Exists():
+		return fmt.Errorf("release API: not an event: %.120q", j.Raw)
+	case kind.Str != "ROLLOUT":
 		return nil
 	}
-	c.Log.Debug("rollout event received", "object", j.Get("object").Raw)
-	return parseState(j.Get("object"), false, c.publish)
+	c.Log.Debug("rollout event received", "object", state.Raw)
+	return parseState(state, false, c.publish)
 }
 
 // parseState reads a state and calls update with it. An incomplete or invalid state is an error, without a call.
--- a/internal/rest/rest_test.go
+++ b/internal/rest/rest_test.go
@@ -14,7 +14,7 @@
 
 // follow follows a stream whose server writes pieces, each as a chunk, and then hangs or ends the stream. It returns the
 // objects, encoded again, and the error of Follow.
-func follow(t *testing.T, timeout time.Duration, hang bool, pieces ...string) (got []string, err error) {
+func follow(t *testing.T, layout Layout, timeout time.Duration, hang bool, pieces ...string) (got []string, err error) {
 	t.Helper()
 	client, server := net.Pipe()
 	defer client.Close()
@@ -34,7 +34,7 @@
 			io.WriteString(server, "0\r\n\r\n")
 		}
 	}()
-	err = Follow(client, "x", "/", timeout, func(b []byte) error {
+	err = Stream{"x", "/", layout, timeout}.Follow(client, func(b []byte) error {
 		var v any
 		if err := json.Unmarshal(b, &v); err != nil {
 			t.Errorf("%q: %v", b, err)
@@ -67,14 +67,14 @@
 		if text == "" {
 			pieces = strings.Split("{\n\"a\":1}\n"+string(indented)+"\n{\"b\":\"}\"}\n{}\n", "")
 		}
-		got, err := follow(t, time.Second, false, pieces...)
+		got, err := follow(t, AnyLayout, time.Second, false, pieces...)
 		if strings.Join(got, "\n") != strings.Join(want, "\n") || err != io.EOF {
 			t.Errorf("%s: got %d objects, error %v; want %d objects, EOF", layout, len(got), err, len(want))
 		}
 	}
 	text := "{\"a\":1}\n\n{ \"b\":\"\\\"}\"}"
 	for split := 1; split < len(text); split++ {
-		got, err := follow(t, time.Second, false, text[:split], text[split:])
+		got, err := follow(t, AnyLayout, time.Second, false, text[:split], text[split:])
 		if len(got) != 2 || err != io.EOF {
 			t.Errorf("split at %d: got %q, error %v; want 2 objects, EOF", split, got, err)
 		}
@@ -84,7 +84,7 @@
 // An invalid object ends the stream with an error; the objects before it are delivered.
 func TestInvalidStream(t *testing.T) {
 	for _, invalid := range []string{"noise", "5\n", "[{}]", "{\"a\":nope}", "{\"a\":\"\n\"}", "{\"a\":1", "}"} {
-		got, err := follow(t, time.Second, false, "{\"a\":1}\n"+invalid)
+		got, err := follow(t, AnyLayout, time.Second, false, "{\"a\":1}\n"+invalid)
 		if len(got) != 1 || err == nil || err == io.EOF {
 			t.Errorf("%q: got %q, error %v; want 1 object and an error other than EOF", invalid, got, err)
 		}
@@ -96,7 +96,7 @@
 	for name, pieces := range map[string][]string{"after its head": nil, "after an object": {"{}\n"},
 		"within an object": {"{\"a\":"}} {
 		start := time.Now()
-		_, err := follow(t, 100*time.Millisecond, true, pieces...)
+		_, err := follow(t, AnyLayout, 100*time.Millisecond, true, pieces...)
 		if took := time.Since(start); !errors.Is(err, os.ErrDeadlineExceeded) || took < 100*time.Millisecond || took > time.Second {
 			t.Errorf("%s: error %v after %v; want a timeout after 100 ms to 1 s", name, err, took)
 		}
--- a/internal/serve/list.go
+++ b/internal/serve/list.go
@@ -207,5 +207,8 @@
 	if len(lines) != count {
 		return nil, fmt.Errorf("the file is truncated or damaged: got %d lines, want %d", len(lines), count)
 	}
+	if !bytes.HasSuffix(b, []byte("\n")) {
+		return nil, errors.New("the file is truncated or damaged: the last line has no end")
+	}
 	return lines, nil
 }
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -465,7 +465,7 @@
 	c.expect("200 succeeded /look")
 	lines := strings.SplitAfter(readFile(t, file), "\n")
 	for saved, cause := range map[string]string{"": "empty", lines[0] + lines[1]: "truncated", "x": "line 1",
-		lines[0] + "NODE x\n" + lines[2]: "line 2"} {
+		lines[0] + "NODE x\n" + lines[2]: "line 2", strings.TrimSuffix(strings.Join(lines, ""), "\n"): "no end"} {
 		l := newNodeList(file, loop.Monotonic())
 		if err := l.save([]byte(saved)); err != nil {
 			t.Fatal(err)
