Counts that peers tell are believed up to 2^40, so that sums keep their last unit

Counts up to 2^53 were believed; in the sum of such counts of several marshals one more does not count, a success rate is exactly 1 (or a failure rate 0), and the draw from it panics ("gamma: alpha <= 0"). One peer with wild counts in its datagrams would end the others.

Change: the greatest count is 2^40, with which sums over thousands of marshals are exact.

Evidence: TestGreatestCountsAreHarmless (counts of 900 marshals) panics with 2^53 and passes with 2^40.

--- a/balance/counts.go
+++ b/balance/counts.go
@@ -32,8 +32,9 @@
 	counts [][4]float64
 }
 
-// maxCount is the greatest count that is believed. Sums of such counts stay finite, and each is an exact integer.
-const maxCount = 1 << 53
+// maxCount is the greatest count that is believed. One more still counts in a sum over thousands of marshals: where it does not,
+// a rate of exactly 0 or 1 leaves nothing to draw from.
+const maxCount = 1 << 40
 
 // isCount reports whether a number received from outside can be a count.
 func isCount(v float64) bool { return v >= 0 && v <= maxCount }
--- a/balance/counts_test.go
+++ b/balance/counts_test.go
@@ -103,7 +103,7 @@
 // TestImpossibleCountsAreDropped guards against a crash by counts from outside: a draw from a distribution with a parameter
 // that is not above 0 panics.
 func TestImpossibleCountsAreDropped(t *testing.T) {
-	for _, count := range []string{"-1", "-0.5", "NaN", "nan", "Inf", "-Inf", "1e308", "9007199254740994", "0x1p60", "", "x"} {
+	for _, count := range []string{"-1", "-0.5", "NaN", "nan", "Inf", "-Inf", "1e308", "1099511627777", "0x1p60", "", "x"} {
 		for place := range 4 {
 			counts := []string{"90", "10", "90", "10"}
 			counts[place] = count
@@ -133,6 +133,25 @@
 	}
 }
 
+// TestGreatestCountsAreHarmless guards against a crash by counts that are believed: in a sum that is too large for one more to
+// count, a rate is exactly 0 or 1, and a draw from it panics.
+func TestGreatestCountsAreHarmless(t *testing.T) {
+	const marshals = 900
+	for _, text := range []string{"%d 0 0 %d 0", "%d 0 %[2]d %[2]d 0", "%d %d 0 0 0", "%d 0 %d 0 0", "%d %[2]d %[2]d 0 %[2]d", "%d 0 0 0 %d"} {
+		c := newCountsHost()
+		c.b.settings["marshals"] = float64(marshals)
+		c.b.NodesListed(false, []Node{{ID: 43, Ver: 43, Size: 1}})
+		c.b.StageUpdate(43, 0, OnTrial, 0.5, 0, false)
+		for from := range marshals {
+			c.b.PeerMessage(from, fmt.Sprintf(text, 43, maxCount))
+		}
+		if len(c.b.peers) != marshals {
+			t.Fatalf("%q: counts of %d marshals were kept, want %d", text, len(c.b.peers), marshals)
+		}
+		c.serve(300)
+	}
+}
+
 // TestCountsInAnyOrderOfBuilds guards against crashes and untrue counts in any order in which builds are announced, listed,
 // missed, forgotten and answer, and by anything that peers tell.
 func TestCountsInAnyOrderOfBuilds(t *testing.T) {
