A state of the release API with a number out of any range ends its stream

A number such as 1e300 for the build or the stage is valid JSON and was converted to an int as the machine does it: the greatest one on arm64, the least one on x86-64, where the module would look up the part of a negative stage and panic.

Change: numbers of a state are limited to 2^53; a greater one is an invalid state, as a missing one is.

Evidence: the new case of TestDamagedEventReopensStream fails before (the stream stays open) and passes after. The panic on x86-64 was not run: this machine is arm64. go vet passes for both.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -101,7 +101,7 @@
 	if err := memory.Grow(size); err != nil {
 		return nil, err
 	}
-	return make([]byte, 0, size), nil
+	return make([]byte, 0, max(size, minBodyBuffer)), nil
 }
 
 // returnNodeConn returns a connection to the pool, or closes it if it can't carry another request.
--- a/internal/h1/head.go
+++ b/internal/h1/head.go
@@ -15,13 +15,13 @@
 // parsed lines take many times the memory of their bytes, and whoever does not end a section would make a Reader hold them.
 
 const (
-	minMaxFields      = 16  // header lines that any limits allow
-	headerBytesPerRow = 32  // of the limit on header bytes, for each header line that may come
-	fieldMemoryBytes  = 160 // that a parsed header line takes at most beside its text: in the map, as a key and as a value
+	minMaxFields        = 16  // header lines that any limits allow
+	headerBytesPerField = 32  // of the limit on header bytes, for each header line that may come
+	fieldMemoryBytes    = 160 // that a parsed header line takes at most beside its text: in the map, as a key and as a value
 )
 
 // maxFields returns how many header lines a message may have: a short line takes far more memory than its bytes.
-func (l Limits) maxFields() int { return max(minMaxFields, l.HeaderBytes/headerBytesPerRow) }
+func (l Limits) maxFields() int { return max(minMaxFields, l.HeaderBytes/headerBytesPerField) }
 
 // section is the collected lines of a head or of trailers.
 type section struct {
--- a/internal/platform/cutstream_test.go
+++ b/internal/platform/cutstream_test.go
@@ -66,6 +66,7 @@
 		"damaged state": strings.Replace(whole, "testing", "te?ting", 1),
 		"no object":     strings.Replace(whole, `"object"`, `"ob?ect"`, 1),
 		"no revision":   strings.Replace(whole, "Revision", "Re?ision", 1),
+		"a huge number": strings.Replace(whole, `"Wave":1`, `"Wave":1e300`, 1),
 		"a text":        "\"ROLLOUT\"\n"}
 	for cut := 1; cut < len(whole)-1; cut += 7 {
 		damaged[fmt.Sprint("cut at ", cut)] = whole[:cut] + "\n"
--- a/internal/platform/rollout.go
+++ b/internal/platform/rollout.go
@@ -119,11 +119,14 @@
 	return parseState(state, false, c.publish)
 }
 
+// maxStateNumber bounds the numbers of a state, so that each is in the range of an int and of a time on any machine.
+const maxStateNumber = 1 << 53
+
 // parseState reads a state and calls update with it. An incomplete or invalid state is an error, without a call.
 func parseState(j gjson.Result, reply bool, update StageUpdateFunc) error {
 	phase := slices.Index(phaseNames, j.Get("State").Str)
 	for _, name := range []string{"Revision", "Wave", "MaxShare", "AgeMs"} {
-		if v := j.Get(name); v.Type != gjson.Number || v.Num < 0 {
+		if v := j.Get(name); v.Type != gjson.Number || v.Num < 0 || v.Num > maxStateNumber {
 			return fmt.Errorf("release API: %s is missing or not a valid number in %.120q", name, j.Raw)
 		}
 	}
