Clean-up: the module's settings and windows have files of their own

The code is moved, but for two functions that read settings and were part of the constructor.

Evidence: balance, divide and record pass as before.

--- a/balance/state.go
+++ b/balance/state.go
@@ -35,24 +35,6 @@
 	siblingState
 }
 
-// config holds settings that are needed for each invocation, read once.
-type config struct {
-	// initialCapacityShare is the share of its capacity that a node has when it starts.
-	initialCapacityShare, warmUpMs, warmUpWindowMs, warmUpWorkMultiple float64
-	exposureWindowMs, exposureAllowance, crossZonePrice, connIdleMs    float64
-	shieldedStages                                                     float64
-	maxTries, zone                                                     int
-	forwardOnly, worthByWork, capPerOperation                          bool
-	firstStageCap                                                      float64 // cap for a build without a stage update
-	marshalNumber, instance, instances                                 float64 // instance is its number within the marshal
-}
-
-// operation holds the settings of one operation.
-type operation struct {
-	repeatPolicy, repeatGroup    string
-	memoryMs, sloMs, billedValue float64
-}
-
 // fleetState is the state of the nodes. It lasts as long as a node is known.
 type fleetState struct {
 	nodes              map[uint32]*node
@@ -250,31 +232,9 @@
 
 func newBalancer(h Host, settings Settings, seed uint64) *Balancer {
 	b := &Balancer{host: h, settings: settings, rng: rand.New(pcg.New(seed)), startedAt: h.Now()}
-	b.cfg = config{
-		initialCapacityShare: settings.number("rules.cold-from", 0.1),
-		warmUpMs:             settings.number("rules.warm-up-ms", 10000),
-		warmUpWindowMs:       settings.number("rules.fall-ms", 2000),
-		warmUpWorkMultiple:   settings.number("rules.fall-multiple", 1),
-		exposureWindowMs:     settings.number("rollout.counted-over-ms", 0),
-		exposureAllowance:    settings.number("rollout.allowance", 0),
-		crossZonePrice:       settings.number("prices.cross-zone", 0),
-		connIdleMs:           settings.number("limits.conn-idle-ms", 10000),
-		shieldedStages:       settings.number("rollout.shielded", math.Inf(1)),
-		maxTries:             int(settings.number("limits.most-tries", 1)),
-		zone:                 int(settings.number("zone", 0)),
-		forwardOnly:          settings.enabled("rollout.forward-only"),
-		worthByWork:          settings.text("worth-by", "") == "work",
-		capPerOperation:      settings.text("rollout.cap-scope", "each_class") == "each_class",
-		firstStageCap:        append(slices.Clone(settings.numbers("rollout.most-shares")), 0)[0],
-		marshalNumber:        settings.number("number", 0),
-		instance:             settings.number("instance", 0),
-		instances:            settings.number("instances", 1),
-	}
+	b.cfg = readConfig(settings)
 	b.leases = map[exposureKey]lease{}
-	for _, o := range settings.children("operations") {
-		b.ops = append(b.ops, operation{o.text("repeat", ""), o.text("group", ""), o.number("memory-ms", 0),
-			o.number("slo-ms", 0), o.number("billed-value", 1)})
-	}
+	b.ops = readOperations(settings)
 	n := len(b.ops)
 	b.nodes, b.lateShares, b.invocations = map[uint32]*node{}, map[int]*float64{}, map[string]*invocation{}
 	b.accepted, b.exposures, b.minVerByKey = map[int]*slidingSum{}, map[exposureKey]*slidingSum{}, map[uint64]int{}
@@ -556,53 +516,6 @@
 	return baseline
 }
 
-// slidingSum is a sum over a sliding time window.
-type slidingSum struct {
-	times  []float64
-	values []float64
-	sum    float64 // of the values from head on
-	head   int
-}
-
-// add adds a value at the time now.
-func (s *slidingSum) add(now, value float64) {
-	s.times, s.values = append(s.times, now), append(s.values, value)
-	s.sum += value
-}
-
-// sumSince drops the values before from and returns the sum of the rest.
-func (s *slidingSum) sumSince(from float64) float64 {
-	for s.head < len(s.times) && s.times[s.head] < from {
-		s.sum -= s.values[s.head]
-		s.head++
-	}
-	if s.head == len(s.times) {
-		s.times, s.values, s.head, s.sum = s.times[:0], s.values[:0], 0, 0
-	} else if s.head > 256 && s.head*2 > len(s.times) {
-		s.times = append(s.times[:0], s.times[s.head:]...)
-		s.values = append(s.values[:0], s.values[s.head:]...)
-		s.head = 0
-	}
-	return s.sum
-}
-
-// exposureKey names a build and one of its operations, or all of them with -1.
-type exposureKey struct{ ver, op int }
-
-// acceptedSum counts the recent invocations of an operation, or all with -1.
-func (b *Balancer) acceptedSum(op int) *slidingSum {
-	if b.accepted[op] == nil {
-		b.accepted[op] = &slidingSum{}
-	}
-	return b.accepted[op]
-}
-
-// countEvent adds one to a sum over the exposure window.
-func (b *Balancer) countEvent(s *slidingSum, now float64) {
-	s.sumSince(now - b.cfg.exposureWindowMs)
-	s.add(now, 1)
-}
-
 // finish marks an invocation as answered. It is removed once its last dispatch has ended.
 func (b *Balancer) finish(inv *invocation) {
 	inv.finished = true
@@ -665,41 +578,3 @@
 		}
 	}
 }
-
-// exposureSum counts the recent dispatches to a build and operation, or to the build with -1.
-func (b *Balancer) exposureSum(ver, op int) *slidingSum {
-	e := exposureKey{ver, op}
-	if b.exposures[e] == nil {
-		b.exposures[e] = &slidingSum{}
-	}
-	return b.exposures[e]
-}
-
-func (s Settings) number(name string, fallback float64) float64 {
-	if v, ok := s[name].(float64); ok {
-		return v
-	}
-	return fallback
-}
-
-func (s Settings) text(name, fallback string) string {
-	if v, ok := s[name].(string); ok {
-		return v
-	}
-	return fallback
-}
-
-func (s Settings) enabled(name string) bool {
-	v, _ := s[name].(bool)
-	return v
-}
-
-func (s Settings) numbers(name string) []float64 {
-	v, _ := s[name].([]float64)
-	return v
-}
-
-func (s Settings) children(name string) []Settings {
-	v, _ := s[name].([]Settings)
-	return v
-}
