An event of the release API is heard before its line end

With a reader of lines an event waited for its line end; a platform that writes line ends before its objects would be heard a sign of life late, and a lower cap binds 150 ms after it was written.

Evidence: TestObjectsAreDeliveredAtOnce fails on the code before for the release API's layout and passes after, for both layouts.

--- a/internal/rest/stream.go
+++ b/internal/rest/stream.go
@@ -155,17 +155,28 @@
 	return r
 }
 
-// split is bufio.ScanLines; it notes when a line has begun and is not whole.
+// split is bufio.ScanLines, but for a whole object, which doesn't wait for its line end: news is urgent. It notes when a line
+// has begun and is not whole.
 func (r *lineReader) split(data []byte, atEOF bool) (advance int, line []byte, err error) {
 	advance, line, err = bufio.ScanLines(data, atEOF)
-	if advance == 0 && len(bytes.TrimLeft(data, whiteSpace)) > 0 {
-		r.conn.BeginMessage()
-	} else {
+	begun := bytes.Trim(data, whiteSpace)
+	switch {
+	case advance > 0 || len(begun) == 0:
+		r.conn.EndMessage()
+	case isObject(begun):
 		r.conn.EndMessage()
+		return len(data), data, nil
+	default:
+		r.conn.BeginMessage()
 	}
 	return advance, line, err
 }
 
+// isObject reports whether a text is one whole JSON object.
+func isObject(text []byte) bool {
+	return text[0] == '{' && text[len(text)-1] == '}' && json.Valid(text)
+}
+
 // next returns the object of the next line that is not blank.
 func (r *lineReader) next() ([]byte, error) {
 	for r.lines.Scan() {
@@ -173,7 +184,7 @@
 		if len(line) == 0 {
 			continue
 		}
-		if line[0] != '{' || !json.Valid(line) {
+		if !isObject(line) {
 			return nil, fmt.Errorf("%w: %.80q", errNoObject, line)
 		}
 		return line, nil
--- a/internal/rest/stream_test.go
+++ b/internal/rest/stream_test.go
@@ -98,3 +98,33 @@
 		t.Errorf("with a long object: got %d objects, error %v; want 1 and an error", len(got), err)
 	}
 }
+
+// An object is delivered once it is whole, before its line end and whatever follows.
+func TestObjectsAreDeliveredAtOnce(t *testing.T) {
+	for _, layout := range []Layout{AnyLayout, ObjectPerLine} {
+		const timeout = 300 * time.Millisecond
+		client, server := net.Pipe()
+		delivered := make(chan string, 2)
+		go Stream{"x", "/", layout, timeout}.Follow(client, func(b []byte) error {
+			delivered <- string(b)
+			return nil
+		})
+		server.Read(make([]byte, 4096))
+		io.WriteString(server, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for _, pieces := range [][]string{{`{"a":{"b":1}}`}, {"\n{\"c\":", "2}"}} {
+			for _, piece := range pieces {
+				fmt.Fprintf(server, "%x\r\n%s\r\n", len(piece), piece)
+			}
+			select {
+			case got := <-delivered:
+				if want := strings.TrimSpace(strings.Join(pieces, "")); strings.TrimSpace(got) != want {
+					t.Errorf("layout %v: got %q, want %q", layout, got, want)
+				}
+			case <-time.After(timeout / 2):
+				t.Errorf("layout %v: %q was not delivered", layout, pieces)
+			}
+		}
+		client.Close()
+		server.Close()
+	}
+}
