An id is accepted once, also after its request is over

An id also ran twice where it came again after its client had left during an attempt, or after its time was up.

Cause: an id was known only while its request was open, and free before the first byte of the answer; a copy that was on its way then was a new request. The node's log shows the second request with the bad client's head, so it is no repeat of the module's and no late answer.

Change: internal/requestids keeps the ids of accepted requests as hashes, in fixed memory that memory_mb counts (a thirty-second of it), oldest out first; ids that were sent to a node have a part of their own, so that a flood of requests that are never sent can't displace them. The second request gets 409. This works for any order of events, since an id is taken before its request is offered and never given back once it is accepted.

ExampleMessageMemory: what messages may use is less by the ids' part.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -31,6 +31,8 @@
 	// liveMemoryShare is the share of the memory limit that may be in use; the collector needs the rest for what is not
 	// collected yet, and the kernel counts more than the collector does.
 	liveMemoryShare = 0.45
+	// requestIDShare is the share of the memory limit for the ids of requests that are over.
+	requestIDShare = 1.0 / 32
 	// minMessageShare is the share of the memory limit that messages get however many connections there are.
 	minMessageShare = 1.0 / 16
 )
@@ -40,9 +42,13 @@
 func MessageMemory(limitMB float64, toClients, toNodes int) int64 {
 	limit := limitMB * (1 << 20)
 	connections := float64(toClients*clientConnMemory + toNodes*nodeConnMemory)
-	return int64(max(limit*liveMemoryShare-processMemory-connections, limit*minMessageShare))
+	left := limit*(liveMemoryShare-requestIDShare) - processMemory - connections
+	return int64(max(left, limit*minMessageShare))
 }
 
+// RequestIDMemory returns the memory in bytes for the ids of requests that are over, under a memory limit in MiB.
+func RequestIDMemory(limitMB float64) int { return int(limitMB * (1 << 20) * requestIDShare) }
+
 // Conn is the state of one client connection.
 type Conn struct {
 	IdleMs float64 // since its last answer, or since it was opened if there was none
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -23,15 +23,15 @@
 	// 480 480
 }
 
-// ExampleMessageMemory shows that messages get what connections leave of the memory, and a small part of it in any case.
+// ExampleMessageMemory shows that messages get what connections and ids leave of the memory, and a small part of it in any case.
 func ExampleMessageMemory() {
 	for _, limits := range []struct{ megabytes, descriptors int }{{32, 256}, {32, 1024}, {64, 384}, {192, 1024}} {
 		toClients, toNodes := Divide(limits.descriptors)
 		fmt.Println(limits, MessageMemory(float64(limits.megabytes), toClients, toNodes)>>10, "KiB")
 	}
 	// Output:
-	// {32 256} 7577 KiB
+	// {32 256} 6553 KiB
 	// {32 1024} 2048 KiB
-	// {64 384} 20275 KiB
-	// {192 1024} 69017 KiB
+	// {64 384} 18227 KiB
+	// {192 1024} 62873 KiB
 }
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -88,7 +88,7 @@
 	if s.Faults.AnswerTwice {
 		answer = message{head: slices.Repeat(answer.join(), 2)}
 	}
-	c.releaseID()
+	c.settleID()
 	return true, c.writeMessage(answer) == nil && reason == keepOpen, report
 }
 
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -33,7 +33,7 @@
 	commands      chan command             // from the loop to the worker
 	clientGone    atomic.Bool              // the client has disconnected
 	omitBody      bool                     // the current request is a HEAD
-	openID        string                   // id of the open request, until its answer begins
+	idHolder      *exchange                // the exchange that holds the id of the open request, until its answer begins
 	lastRequestID string                   // id of the request read last, for the log
 	evicted       bool                     // it closes in favour of a new connection; guarded by s.mu
 	exchange      atomic.Pointer[exchange] // the invocation in progress, nil for none
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -112,6 +112,7 @@
 			x.conn.server.Log.Debug("dispatch not written", "request", x.requestID, "node", address, "why", err)
 			return nil
 		}
+		x.sent = true
 		outcome.BytesWritten, outcome.Err = x.writeRequest(nodeConn, outcome)
 		if outcome.Err == nil {
 			return nodeConn
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -45,6 +45,7 @@
 	bodyMemory    membudget.Reservation
 	bodyRetained  bool            // the whole body is in retained
 	streamed      bool            // part of the rest has been sent: the request can't be sent again
+	sent          bool            // the request has been written to a node, at least in part
 	readerResumed bool            // the reader was notified that the body has been read
 	lastOutcome   balance.Outcome // how the last dispatch ended
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -18,6 +18,7 @@
 	"arrowcleat/internal/loop"
 	"arrowcleat/internal/marshal"
 	"arrowcleat/internal/membudget"
+	"arrowcleat/internal/requestids"
 	"arrowcleat/internal/settings"
 )
 
@@ -45,11 +46,12 @@
 	Log      *slog.Logger
 	Protocol ProtocolOptions
 	Memory   *membudget.Budget // for what clients and nodes send; nil: no limit
+	// RequestIDs are the ids of requests that are open or over; nil: requests have no ids that must not come again.
+	RequestIDs *requestids.Registry
 	// Ready is closed once the loops accept invocations, or when the server ends before that; nil: they accept them from the
 	// start. Until then invocations wait in the loops' queues, each for its client's time at most.
 	Ready <-chan struct{}
 
-	openIDs          sync.Map                          // ids of open requests
 	draining         atomic.Bool                       // every connection closes after its next answer
 	lingering        atomic.Int64                      // rejected connections that still hold a descriptor
 	updatedSettings  atomic.Pointer[settings.Settings] // nil until the first update
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -17,6 +17,7 @@
 	"arrowcleat/internal/h1"
 	"arrowcleat/internal/loop"
 	"arrowcleat/internal/marshal"
+	"arrowcleat/internal/requestids"
 	"arrowcleat/internal/settings"
 )
 
@@ -64,7 +65,7 @@
 			RepeatBodyBytes: 100},
 		Times: &settings.Times{HeaderMs: 1000, BodyMs: 1000, WriteMs: 1000, IdleMs: 1000}},
 		Clock: clock, Loops: []*loop.Loop{loop.New(clock, 1)}, Cores: [][]*marshal.Core{{nil}}, Pool: &back.Pool{},
-		Log: slog.New(slog.DiscardHandler), Protocol: protocol}
+		Log: slog.New(slog.DiscardHandler), Protocol: protocol, RequestIDs: requestids.New(1 << 12)}
 	go s.Serve([]Listener{{Listener: countingListener{ln, reads}}})
 	t.Cleanup(func() { s.Close(time.Second) })
 	return s, ln.Addr().String(), reads
@@ -165,7 +166,7 @@
 			}
 			return params, nil
 		}})
-	s.openIDs.Store("open", true)
+	s.RequestIDs.Claim("open")
 	for text, want := range map[string]int{
 		"Content-Length: 5\r\n\r\nhello":              400,
 		"X-Id: a\r\nContent-Length: 60000000\r\n\r\n": 413,
--- a/internal/front/options.go
+++ b/internal/front/options.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"arrowcleat/internal/h1"
+	"arrowcleat/internal/requestids"
 	"arrowcleat/internal/settings"
 )
 
@@ -29,7 +30,7 @@
 type RequestParams struct {
 	Operation, Tenant int     // indices in the settings
 	Key               string  // empty: it has none
-	RequestID         string  // at most one request with an id is open at a time; empty: it has none
+	RequestID         string  // no other request that is accepted has the same; empty: it has none
 	LimitMs, CostMs   float64 // time limit; the client's estimate of the cost, 0 for none
 	IsRetry, IsWrite  bool    // the client marked it as a retry; its operation writes
 }
@@ -74,21 +75,36 @@
 		IsRetry: s.headerNames.retry != "" && h.Header.Get(s.headerNames.retry) != "", IsWrite: operation.Write}, nil
 }
 
-// claimID marks a request id as open; false means that it is open already.
-func (s *Server) claimID(id string) bool {
-	if id == "" {
-		return true
+// claimID takes the id of a request for its exchange. It fails if another request has or had the id.
+func (c *conn) claimID(x *exchange) error {
+	if x.requestID == "" {
+		return nil
+	}
+	if err := c.server.RequestIDs.Claim(x.requestID); err != nil {
+		return err
+	}
+	c.idHolder = x
+	return nil
+}
+
+// settleID ends the claim of the request's id. It is called before the client can have the last byte of the answer, since the
+// client may use the id of a request that was not accepted again at once.
+func (c *conn) settleID() {
+	if x := c.idHolder; x != nil {
+		c.idHolder = nil
+		c.server.RequestIDs.Settle(x.requestID, x.idUse())
 	}
-	_, open := s.openIDs.LoadOrStore(id, true)
-	return !open
 }
 
-// releaseID frees the id of the open request. It is called before the client can have the last byte of the answer, since the
-// client may use the same id again at once.
-func (c *conn) releaseID() {
-	if c.openID != "" {
-		c.server.openIDs.Delete(c.openID)
-		c.openID = ""
+// idUse returns what the invocation's id has been used for.
+func (x *exchange) idUse() requestids.Use {
+	switch {
+	case x.sent:
+		return requestids.Sent
+	case x.acceptedBy.Load() != 0:
+		return requestids.Accepted
+	default:
+		return requestids.Unused
 	}
 }
 
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -29,7 +29,7 @@
 	if !pending {
 		return false
 	}
-	c.releaseID()
+	c.settleID()
 	b := append(strconv.AppendInt(append(c.writeBuf[:0], "HTTP/1.1 "...), int64(status), 10), ' ')
 	b = append(append(b, reasonPhrases[status]...), "\r\n"...)
 	b = h1.AppendField(b, AnswerHeader, final)
@@ -109,11 +109,10 @@
 	if s.tooLong(h.BodyLength) {
 		return c.reject(413, "the body is too long", closeRejected)
 	}
-	if !s.claimID(params.RequestID) {
-		return c.reject(409, "a request of this id is open", required)
+	if err := c.claimID(x); err != nil {
+		return c.reject(409, err.Error(), required)
 	}
-	c.openID = params.RequestID
-	defer c.releaseID()
+	defer c.settleID()
 	x.limitMs = params.LimitMs
 	if s.openInvocations.Add(1) > int64(s.CurrentSettings().Limits.Open) {
 		s.openInvocations.Add(-1)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -16,6 +16,7 @@
 	"arrowcleat/internal/front"
 	"arrowcleat/internal/loop"
 	"arrowcleat/internal/membudget"
+	"arrowcleat/internal/requestids"
 	"arrowcleat/internal/serve"
 )
 
@@ -74,6 +75,7 @@
 	limits := c.Settings.Limits
 	hooks.Transport.MaxNodeConnections = int(limits.IdlePerNode)
 	hooks.Transport.MessageMemory = membudget.New(connlimit.MessageMemory(c.MemoryMB, int(limits.Connections), int(limits.IdlePerNode)))
+	hooks.Transport.RequestIDs = requestids.New(connlimit.RequestIDMemory(c.MemoryMB))
 	if c.peerListen != "" {
 		hooks.Transport.NewPeers = func(onMessage func(int, string)) (serve.Peers, error) { return c.openPeers(log, onMessage) }
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -352,6 +352,11 @@
 	return nil
 }
 
+// sendLook writes a request on a connection.
+func sendLook(nc net.Conn, id string) {
+	fmt.Fprintf(nc, "GET /look HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %s\r\nX-Qos: look\r\nX-Expires-In-Ms: 600\r\n\r\n", id)
+}
+
 // request sends a request to a marshal on a new connection.
 func request(t *testing.T, m *Marshal, id string) (status int, body string, err error) {
 	nc, err := net.Dial("tcp", m.Address())
@@ -360,7 +365,7 @@
 	}
 	defer nc.Close()
 	nc.SetDeadline(time.Now().Add(3 * time.Second))
-	fmt.Fprintf(nc, "GET /look HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %s\r\nX-Qos: look\r\nX-Expires-In-Ms: 600\r\n\r\n", id)
+	sendLook(nc, id)
 	r, err := http.ReadResponse(bufio.NewReader(nc), nil)
 	if err != nil {
 		return 0, "", err
--- a/internal/serve/hooks.go
+++ b/internal/serve/hooks.go
@@ -11,6 +11,7 @@
 	"arrowcleat/internal/front"
 	"arrowcleat/internal/loop"
 	"arrowcleat/internal/membudget"
+	"arrowcleat/internal/requestids"
 )
 
 // Hooks replace parts of a marshal, for tests, fault injection and other protocols. The zero value changes nothing.
@@ -38,14 +39,15 @@
 // for the service registry, the rollout service and peers.
 type Transport struct {
 	ProtocolOptions    front.ProtocolOptions
-	ModuleSettings     balance.Settings    // of the decision module
-	Strict             bool                // a response other than 200 is a failure
-	ReportNames        map[string]string   // names of the figures that nodes report, as the module knows them
-	MaxNodeConnections int                 // connections to all nodes together above which idle ones are closed; 0: no bound
-	MessageMemory      *membudget.Budget   // for what clients and nodes send; nil: no limit
-	ReuseDelay         time.Duration       // how long a connection to a node stays unused after a response
-	KnownNodes         []control.NodeEntry // the node list that the marshal held last
-	FirstListTimeout   time.Duration       // how long the marshal waits for the first node list before it accepts invocations
+	ModuleSettings     balance.Settings     // of the decision module
+	Strict             bool                 // a response other than 200 is a failure
+	ReportNames        map[string]string    // names of the figures that nodes report, as the module knows them
+	MaxNodeConnections int                  // connections to all nodes together above which idle ones are closed; 0: no bound
+	MessageMemory      *membudget.Budget    // for what clients and nodes send; nil: no limit
+	RequestIDs         *requestids.Registry // ids that must not come again; nil: there are none
+	ReuseDelay         time.Duration        // how long a connection to a node stays unused after a response
+	KnownNodes         []control.NodeEntry  // the node list that the marshal held last
+	FirstListTimeout   time.Duration        // how long the marshal waits for the first node list before it accepts invocations
 	NewRegistry        func(onNodes func(complete bool, lines []control.NodeEntry), onFailure func()) Registry
 	NewRolloutService  func(onStageUpdate func(ver, stage int, phase balance.Phase, cap, ageMs float64, isVoteReply bool),
 		onVoteFailure func(balance.Outcome)) RolloutService
--- a/internal/serve/start.go
+++ b/internal/serve/start.go
@@ -36,6 +36,7 @@
 	m.Front = &front.Server{Settings: set, Clock: hooks.Clock, Loops: m.Loops, Cores: cores, Pool: m.upstream, Log: log, Ready: m.ready}
 	if hooks.Transport != nil {
 		m.Front.Protocol, m.Front.Memory = hooks.Transport.ProtocolOptions, hooks.Transport.MessageMemory
+		m.Front.RequestIDs = hooks.Transport.RequestIDs
 	}
 	if hooks.ConfigureFront != nil {
 		hooks.ConfigureFront(m.Front)
