More ways in which clients make a marshal hold memory, none over its limit

Need: operators of other deployments saw processes killed for memory while hundreds of clients wrote slowly, stopped half way through a large request or sent heads of very many short fields.

Change: TestMemoryLimit plays thirteen further ways: heads and bodies in small pieces, chunked bodies, halves and a close, hundreds of requests at once that nobody reads the answers to, bodies at once, continued lines, many short fields on kept connections, 100-continue, 60 MB, the same again.

--- a/cmd/arrowcleat/memory_test.go
+++ b/cmd/arrowcleat/memory_test.go
@@ -59,7 +59,16 @@
 	return bookHead(fmt.Sprint("Content-Length: ", maxMessageBody)) + strings.Repeat("b", maxMessageBody)
 }
 
-// chunkOfOne is a chunk of one byte with an extension that makes it long.
+// repeatRequest returns this many requests.
+func repeatRequest(request func() string, count int) string {
+	var b strings.Builder
+	for range count {
+		b.WriteString(request())
+	}
+	return b.String()
+}
+
+// chunkOfOne is a chunk of one byte.
 const chunkOfOne = "1\r\nx\r\n"
 
 // memoryAttack is a way in which clients and nodes make a marshal hold memory.
@@ -67,6 +76,8 @@
 	client func() string // what a client sends on a connection; then it waits
 	again  bool          // the client reads what it gets, and sends the same again on the connection
 	unread bool          // the client reads nothing
+	closes bool          // the client closes the connection then
+	pieces int           // the client writes in pieces of this many bytes, with pauses; 0: at once
 	node   func() string // what a node answers to a request; empty: nothing
 }
 
@@ -104,6 +115,27 @@
 		node: func() string {
 			return strings.Repeat("HTTP/1.1 103 Early Hints\n"+shortLines(2000)+"\r\n", 20)
 		}},
+	"heads of short lines, written slowly": {client: func() string { return "GET /look HTTP/1.1\n" + shortLines(maxMessageHead) }, pieces: 40},
+	"bodies written slowly":                {client: wholeBook, pieces: 80, node: smallAnswer},
+	"bodies in pieces on kept connections": {client: wholeBook, pieces: 4000, again: true, node: wholeAnswer},
+	"chunked bodies written slowly": {client: func() string {
+		return bookHead("Transfer-Encoding: chunked") + strings.Repeat("1f4\r\n"+strings.Repeat("b", 500)+"\r\n", 130)
+	}, pieces: 60},
+	"half a body and a close": {client: func() string { return wholeBook()[:maxMessageBody/2] }, closes: true},
+	"half a head and a close": {client: func() string { return "GET /look HTTP/1.1\n" + shortLines(maxMessageHead/2) }, closes: true},
+	"hundreds of requests at once, unread": {client: func() string { return repeatRequest(func() string { return lookHead() + "\r\n" }, 300) },
+		unread: true, node: wholeAnswer},
+	"requests with bodies at once": {client: func() string { return repeatRequest(wholeBook, 4) }, unread: true, node: wholeAnswer},
+	"continued lines": {client: func() string {
+		return lookHead() + "X-A: a\r\n" + strings.Repeat(" b\r\n", 480) + "\r\n"
+	}, again: true, node: wholeAnswer},
+	"heads of many short fields on kept connections": {client: func() string { return lookHead() + shortLines(2400) + "\r\n" },
+		again: true, node: wholeAnswer},
+	"expected continues": {client: func() string {
+		return bookHead("Expect: 100-continue\r\nContent-Length: "+strconv.Itoa(maxMessageBody)) + strings.Repeat("b", maxMessageBody-1)
+	}},
+	"sixty megabytes":                   {client: func() string { return bookHead("Content-Length: 60000000") + strings.Repeat("b", 1<<20) }},
+	"the same again":                    {client: func() string { return "GET /nothing HTTP/1.1\r\nHost: x\r\n" + shortLines(2400) + "\r\n" }, again: true},
 	"bodies both ways while nodes stop": {client: wholeBook, again: true, node: func() string { return wholeAnswer()[:maxMessageBody] }},
 }
 
@@ -180,7 +212,10 @@
 		}()
 		buf := make([]byte, 32<<10)
 		for first := true; first || a.again; first = false {
-			if _, err := io.WriteString(c, a.client()); err != nil {
+			if err := a.write(c); err != nil {
+				break
+			}
+			if a.closes {
 				break
 			}
 			if a.unread {
@@ -199,6 +234,23 @@
 	}
 }
 
+// pieceInterval is the time between two pieces of what a client writes slowly.
+const pieceInterval = 2 * time.Millisecond
+
+// write writes what a client sends.
+func (a memoryAttack) write(c net.Conn) error {
+	text := a.client()
+	for a.pieces > 0 && len(text) > a.pieces {
+		if _, err := io.WriteString(c, text[:a.pieces]); err != nil {
+			return err
+		}
+		text = text[a.pieces:]
+		time.Sleep(pieceInterval)
+	}
+	_, err := io.WriteString(c, text)
+	return err
+}
+
 // anonymousMB returns the resident memory of the process without its program's pages.
 func (p *process) anonymousMB() float64 {
 	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Process.Pid))
