Clients that never wait for answers keep nobody else from the processor

Seen: beside one connection with small or unsound requests at full speed usual answers took 27 to 34 ms in the median in place of 6; beside 170 of them 3 to 11 of some 360 came in 1.2 s. Half a request and a close at full speed held others up for as long as 1.3 s.

Cause: Go polls the network only when nothing can run, else every 10 ms. A connection whose input never ends keeps the processor for a time slice of 10 ms, and a usual request needs several turns. A trace of the runtime showed goroutines that waited 839 ms in the scheduler's second queue while the listener kept the first one filled. Excluded: the loop's queue (health checks never reach it) and a saturated core (170 connections that wait for their answers cost the others 15 ms).

Change: internal/pace gives out a turn a millisecond to requests that come before the previous answer, to answers that turn away what is the client's fault, to long framing and to the rest of rejected requests. The listener pauses behind what can run after 16 connections without a wait; the search for a connection to evict is bounded, and one whose client has closed needs none. The first line of a head is checked once; empty lines are bounded.

--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime"
 	"time"
 
 	"arrowcleat/divide"
@@ -22,11 +23,27 @@
 	acceptLogInterval = time.Second
 )
 
+// Where connections come so fast that accepting never waits, a pause after each batch lets the others run and the network be
+// polled.
+const (
+	acceptBatch     = 16
+	acceptBatchTime = 10 * time.Millisecond
+	acceptPause     = 100 * time.Microsecond
+)
+
 // acceptLoop accepts connections on one listener until the server stops or the listener fails.
 func (s *Server) acceptLoop(ln Listener) error {
 	wait := minAcceptRetry
 	var lastLogged time.Time
+	batch, batchStart := 0, time.Now()
 	for {
+		if batch++; batch > acceptBatch {
+			if time.Since(batchStart) < acceptBatchTime {
+				runtime.Gosched()
+				time.Sleep(acceptPause)
+			}
+			batch, batchStart = 1, time.Now()
+		}
 		nc, err := ln.Accept()
 		if err != nil {
 			if s.stopping.Load() {
@@ -100,30 +117,17 @@
 	if s.Protocol.FirstRequestTimeoutMs > 0 {
 		c.lifecycle.firstDeadline = now.Add(ms(s.Protocol.FirstRequestTimeoutMs))
 	}
-	s.mu.Lock()
-	if s.killed.Load() {
-		s.mu.Unlock()
+	admitted := s.admit(c)
+	if !admitted && !s.killed.Load() {
+		time.Sleep(fullPause)
+		admitted = s.admit(c)
+	}
+	if !admitted && s.killed.Load() {
 		nc.Close()
 		return
 	}
-	full := len(s.conns)-s.evicting >= int(s.CurrentSettings().Limits.Connections)
-	if full {
-		full = !s.evict()
-	}
-	if !full {
-		s.conns[c] = true
-		c.homeCore = divide.AssignConnection(func(i int) int { return int(s.coreConnections[i].Load()) }, len(s.Loops))
-		s.coreConnections[c.homeCore].Add(1)
-	}
-	if !full {
-		s.wg.Add(2)
-		if s.stopping.Load() {
-			c.lifecycle.requestClose(closeStop)
-		}
-	}
-	s.mu.Unlock()
 	s.Counters.Connections.Add(1)
-	if full {
+	if !admitted {
 		s.Counters.Rejected.Add(1)
 		c.rejectConnection()
 		return
@@ -132,6 +136,32 @@
 	go c.workLoop()
 }
 
+// fullPause is how long a new connection waits when the limit of connections is reached: those whose clients have left close
+// meanwhile.
+const fullPause = time.Millisecond
+
+// admit registers a new connection, if need be in place of an idle one. False means that the limit of connections is reached,
+// or that the server is killed.
+func (s *Server) admit(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.killed.Load() {
+		return false
+	}
+	full := len(s.conns)-s.evicting >= int(s.CurrentSettings().Limits.Connections)
+	if full && !s.evict() {
+		return false
+	}
+	s.conns[c] = true
+	c.homeCore = divide.AssignConnection(func(i int) int { return int(s.coreConnections[i].Load()) }, len(s.Loops))
+	s.coreConnections[c.homeCore].Add(1)
+	s.wg.Add(2)
+	if s.stopping.Load() {
+		c.lifecycle.requestClose(closeStop)
+	}
+	return true
+}
+
 // rejectConnection answers a connection beyond the limit and closes it. In a connection flood it does so on the accepting
 // goroutine: otherwise hundreds of connections would each hold a descriptor until their own goroutines are scheduled.
 func (c *conn) rejectConnection() {
@@ -179,16 +209,25 @@
 			candidates = append(candidates, connlimit.Conn{IdleMs: now - since, Served: served, Busy: !idle})
 		}
 	}
-	chosen := connlimit.SelectVictim(candidates)
-	for chosen >= 0 && (back.HasUnread(conns[chosen].nc) || !conns[chosen].lifecycle.evict()) { // its request has already arrived
+	for range maxEvictionTries {
+		chosen := connlimit.SelectVictim(candidates)
+		if chosen < 0 {
+			return false
+		}
+		if conns[chosen].giveWay() {
+			conns[chosen].evicted = true
+			s.evicting++
+			return true
+		}
 		candidates[chosen].Busy = true
-		chosen = connlimit.SelectVictim(candidates)
-	}
-	if chosen < 0 {
-		return false
 	}
-	c := conns[chosen]
-	c.evicted = true
-	s.evicting++
-	return true
+	return false
+}
+
+// maxEvictionTries bounds the search for a connection to evict, during which nothing is accepted.
+const maxEvictionTries = 32
+
+// giveWay makes an idle connection close, unless its next request has arrived. One whose client has left closes by itself.
+func (c *conn) giveWay() bool {
+	return back.AtEOF(c.nc) || !back.HasUnread(c.nc) && c.lifecycle.evict()
 }
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -61,10 +61,13 @@
 	defer c.server.wg.Done()
 	defer close(c.requests)
 	for {
-		startMs, ok := c.awaitRequest()
+		startMs, early, ok := c.awaitRequest()
 		if !ok {
 			return
 		}
+		if early { // a client that does not wait for answers never runs out of requests
+			c.awaitTurn()
+		}
 		c.setReadDeadline(c.server.CurrentSettings().Times.HeaderMs)
 		h, err := c.reader.Request(c.server.limits)
 		if !c.lifecycle.requestRead() {
@@ -90,20 +93,35 @@
 }
 
 // awaitRequest waits until the first byte of a request has been read and the previous request has its answer. It returns the
-// clock's time at which the request arrived, from which the client's time limit runs. False means that the connection closes.
-func (c *conn) awaitRequest() (startMs float64, ok bool) {
+// clock's time at which the request arrived, from which the client's time limit runs, and whether that was before the previous
+// request's answer. ok is false if the connection closes.
+func (c *conn) awaitRequest() (startMs float64, early, ok bool) {
 	for c.lifecycle.awaitRead(time.Now(), ms(c.server.CurrentSettings().Times.IdleMs)) {
 		_, err := c.reader.Peek(1)
 		if err == nil {
 			startMs = c.arrivalMs()
-			return startMs, c.lifecycle.beginRequest()
+			early, ok = c.lifecycle.beginRequest()
+			return startMs, early, ok
 		}
 		if !back.IsTimeout(err) {
 			c.noteClientGone()
 			break
 		}
 	}
-	return 0, false
+	return 0, false, false
+}
+
+// awaitTurn waits for a turn among the connections that do what could take all of the processor: they send requests that are
+// rejected, or more before the last has its answer.
+func (c *conn) awaitTurn() {
+	wait := c.server.pacer.Reserve(time.Now())
+	if wait <= 0 {
+		return
+	}
+	select {
+	case <-time.After(wait):
+	case <-c.server.hurry:
+	}
 }
 
 // arrivalMs returns the clock's time at which the data that has just been read arrived at this machine. Until it was read it
@@ -264,7 +282,12 @@
 	if t, ok := c.nc.(halfCloser); ok && !c.clientGone.Load() {
 		t.CloseWrite()
 		c.nc.SetReadDeadline(time.Now().Add(lingerTimeout))
-		io.CopyN(io.Discard, c.nc, lingerBytes)
+		for range lingerBytes / lingerTurnBytes {
+			if _, err := io.CopyN(io.Discard, c.nc, lingerTurnBytes); err != nil {
+				return
+			}
+			c.awaitTurn()
+		}
 	}
 }
 
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -241,6 +241,7 @@
 	buf, chunked := make([]byte, streamBufferBytes), x.head.BodyLength == h1.Chunked
 	var out []byte
 	for {
+		x.paceFraming()
 		waitMs := min(x.conn.server.CurrentSettings().Times.BodyMs, x.answerByMs-x.conn.server.Clock.Now())
 		x.conn.nc.SetReadDeadline(time.Now().Add(ms(waitMs)))
 		n, err := x.body.Read(buf)
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -44,6 +44,7 @@
 	retained      []byte   // the part of the body that can be sent again
 	bodyMemory    membudget.Reservation
 	bodyRetained  bool            // the whole body is in retained
+	pacedFraming  int64           // bytes of the body's framing, beyond freeFramingBytes, that turns were taken for
 	streamed      bool            // part of the rest has been sent: the request can't be sent again
 	sent          bool            // the request has been written to a node, at least in part
 	readerResumed bool            // the reader was notified that the body has been read
@@ -275,7 +276,10 @@
 	x.body = c.reader.Body(h, c.server.limits)
 	maxBytes := int(c.server.CurrentSettings().Limits.RepeatBodyBytes)
 	retained, err := readUpTo(c.requestBuf[:0], x.body, maxBytes, x.bodyMemory.GrowPartial,
-		func() { c.setReadDeadline(c.server.CurrentSettings().Times.BodyMs) })
+		func() {
+			x.paceFraming()
+			c.setReadDeadline(c.server.CurrentSettings().Times.BodyMs)
+		})
 	x.retained = retained
 	if cap(retained) <= maxReusedBufferBytes {
 		c.requestBuf = retained
@@ -293,6 +297,21 @@
 	return err
 }
 
+// Framing of a body that is read without a pause: what chunks of a usual size need for a body of any size that is retained, and
+// how much comes between two turns after that.
+const (
+	freeFramingBytes = 8 << 10
+	framingTurnBytes = readBufferBytes
+)
+
+// paceFraming waits for a turn where much of a body is framing: many small chunks take far more processor time than their bytes.
+func (x *exchange) paceFraming() {
+	if framing := x.body.FramingBytes(); framing > freeFramingBytes+x.pacedFraming {
+		x.pacedFraming = framing - freeFramingBytes + framingTurnBytes
+		x.conn.awaitTurn()
+	}
+}
+
 // releaseBody gives back the memory of the request's body.
 func (x *exchange) releaseBody() {
 	x.bodyMemory.Release()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -18,6 +18,7 @@
 	"arrowcleat/internal/loop"
 	"arrowcleat/internal/marshal"
 	"arrowcleat/internal/membudget"
+	"arrowcleat/internal/pace"
 	"arrowcleat/internal/requestids"
 	"arrowcleat/internal/settings"
 )
@@ -67,8 +68,11 @@
 	stopping         atomic.Bool    // no new connections and invocations are accepted
 	killed           atomic.Bool    // no connection is accepted any more, not even those in the kernel's accept queue
 	aborted          atomic.Bool    // nothing is waited for any more
-	viaField         string         // this marshal's entry in the Via header
+	hurry            chan struct{}  // closed once aborted or killed is set
+	hurryOnce        sync.Once
+	viaField         string // this marshal's entry in the Via header
 	limits           h1.Limits
+	pacer            pace.Pacer
 	headerNames      headerNames
 	Counters         Counters
 	Faults           InjectedFaults
@@ -172,6 +176,7 @@
 func (s *Server) initServing(listeners []Listener) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.hurry = make(chan struct{})
 	s.listeners, s.conns, s.coreConnections = listeners, map[*conn]bool{}, make([]atomic.Int64, len(s.Loops))
 	s.openListeners = len(listeners)
 	s.wg.Add(len(listeners)) // waiting for the connections includes those that listeners may still accept
@@ -251,6 +256,7 @@
 	case <-time.After(timeout):
 	}
 	s.killed.Store(true)
+	s.skipTurns()
 	s.mu.Lock()
 	for c := range s.conns {
 		c.closeSocket(closeForced)
@@ -264,6 +270,7 @@
 func (s *Server) Abort() {
 	s.Stop()
 	s.aborted.Store(true)
+	s.skipTurns()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -275,6 +282,7 @@
 // Kill closes every socket at once, as if the process had ended.
 func (s *Server) Kill() {
 	s.killed.Store(true)
+	s.skipTurns()
 	s.Stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -287,6 +295,15 @@
 	}
 }
 
+// skipTurns ends all waits for a turn.
+func (s *Server) skipTurns() {
+	s.hurryOnce.Do(func() {
+		if s.hurry != nil {
+			close(s.hurry)
+		}
+	})
+}
+
 // remove unregisters a closed connection.
 func (s *Server) remove(c *conn) {
 	s.mu.Lock()
@@ -304,9 +321,10 @@
 const (
 	readBufferBytes = 4096
 	// lingerTimeout and lingerBytes bound what is read of a rejected request after its answer, so that the client can read
-	// why it was rejected.
-	lingerTimeout = 300 * time.Millisecond
-	lingerBytes   = 1 << 18
+	// why it was rejected. There is a turn after each lingerTurnBytes.
+	lingerTimeout   = 300 * time.Millisecond
+	lingerBytes     = 1 << 18
+	lingerTurnBytes = 1 << 14
 	// maxLingering bounds the rejected connections that linger, and the concurrent evictions: in a connection flood they
 	// would use up the descriptors.
 	maxLingering = 8
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -204,3 +204,90 @@
 		}
 	}
 }
+
+// turnServer starts a server whose requests without an id are invalid.
+func turnServer(t *testing.T) (s *Server, address string) {
+	return startServer(t, 300, ProtocolOptions{HealthPath: "/healthz", FirstRequestTimeoutMs: 2000,
+		ParseRequest: func(*h1.Head) (RequestParams, error) { return RequestParams{}, NewRejection(400, "no id") }})
+}
+
+const invalidRequest = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+// A connection that sends without waiting for answers, and one whose requests are rejected, took all of the processor. Their
+// requests take turns of a millisecond.
+func TestTurns(t *testing.T) {
+	const requests = 60
+	const turns = (requests - 2) * time.Millisecond // the first has no wait, and a turn ends with its millisecond
+	_, address := turnServer(t)
+	for name, c := range map[string]struct {
+		request string
+		atOnce  bool // all requests are sent before the first answer is read
+		least   time.Duration
+	}{
+		"health checks at once":       {healthRequest, true, turns},
+		"invalid requests at once":    {invalidRequest, true, turns},
+		"invalid requests one by one": {invalidRequest, false, turns},
+	} {
+		nc, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		nc.SetDeadline(time.Now().Add(3 * time.Second))
+		answers := bufio.NewReader(nc)
+		start := time.Now()
+		if c.atOnce {
+			io.WriteString(nc, strings.Repeat(c.request, requests))
+		}
+		for i := range requests {
+			if !c.atOnce {
+				io.WriteString(nc, c.request)
+			}
+			response, err := http.ReadResponse(answers, nil)
+			if err != nil {
+				t.Fatalf("%s, answer %d: %v", name, i, err)
+			}
+			io.Copy(io.Discard, response.Body)
+		}
+		if took := time.Since(start); took < c.least {
+			t.Errorf("%s: %d took %v; want at least %v", name, requests, took, c.least)
+		}
+		nc.Close()
+	}
+}
+
+// Whoever waits for a turn gets its answer at once when the server is aborted.
+func TestAbortSkipsTurns(t *testing.T) {
+	const clients = 250
+	s, address := turnServer(t)
+	for range 800 { // turns that are taken
+		s.pacer.Reserve(time.Now())
+	}
+	statuses := make(chan int, clients)
+	var connected sync.WaitGroup
+	for range clients {
+		connected.Add(1)
+		go func() {
+			nc, err := net.Dial("tcp", address)
+			connected.Done()
+			if err != nil {
+				statuses <- 0
+				return
+			}
+			defer nc.Close()
+			status, _ := roundTrip(nc, invalidRequest)
+			statuses <- status
+		}()
+	}
+	connected.Wait()
+	time.Sleep(50 * time.Millisecond)
+	aborted := time.Now()
+	s.Abort()
+	for range clients {
+		if status := <-statuses; status != 400 {
+			t.Errorf("a request that waited for its turn: status %d; want 400", status)
+		}
+	}
+	if took := time.Since(aborted); took > 250*time.Millisecond {
+		t.Errorf("the answers came %v after the abort", took)
+	}
+}
--- a/internal/front/lifecycle.go
+++ b/internal/front/lifecycle.go
@@ -135,20 +135,22 @@
 }
 
 // beginRequest is called by the reader with the first byte of a request. It waits until the previous request has its answer.
-// False means that the connection closes after that answer, which a client that sends early has to expect.
-func (l *lifecycle) beginRequest() bool {
+// early says that the request came before that answer had begun. ok is false if the connection closes after that answer, which
+// a client that sends early has to expect.
+func (l *lifecycle) beginRequest() (early, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	early = l.state == statePending
 	for l.state == statePending || l.state == stateAnswering {
 		l.nextStarted = true
 		l.answerDone.Wait()
 	}
 	l.nextStarted = false
 	if l.state != stateIdle {
-		return false
+		return early, false
 	}
 	l.state = stateReading
-	return true
+	return early, true
 }
 
 // requestRead is called by the reader once it has read a request or failed to. False means that the connection was closed in
--- a/internal/front/lifecycle_test.go
+++ b/internal/front/lifecycle_test.go
@@ -61,7 +61,7 @@
 				if !socket.read() {
 					continue
 				}
-				if !l.beginRequest() {
+				if _, ok := l.beginRequest(); !ok {
 					t.Errorf("seed %d: a request was read and can't be answered", seed)
 					return
 				}
@@ -114,7 +114,7 @@
 // A forced close while an answer is pending is reported as such, and no answer may begin after it.
 func TestLifecycleForcedWhileAnswerPending(t *testing.T) {
 	l := newLifecycle(&fakeSocket{}, time.Now(), 0)
-	if !l.beginRequest() || !l.requestRead() {
+	if _, ok := l.beginRequest(); !ok || !l.requestRead() {
 		t.Fatal("no request could be read")
 	}
 	if previous, reason := l.close(closeForced); previous != statePending || reason != closeForced {
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -48,6 +48,12 @@
 	return c.write() == nil && reason == keepOpen
 }
 
+// rejectInvalid answers a request that is the client's error. The client may send the same again at once, so it waits its turn.
+func (c *conn) rejectInvalid(status int, text string, required closeReason) (keepAlive bool) {
+	c.awaitTurn()
+	return c.reject(status, text, required)
+}
+
 // reject answers a request that the marshal does not accept.
 func (c *conn) reject(status int, text string, required closeReason, fields ...string) (keepAlive bool) {
 	c.server.Counters.Rejected.Add(1)
@@ -65,15 +71,15 @@
 	c.server.Counters.Malformed.Add(1)
 	switch {
 	case errors.Is(err, h1.ErrTooLarge):
-		return c.reject(431, err.Error(), closeRejected)
+		return c.rejectInvalid(431, err.Error(), closeRejected)
 	case errors.Is(err, h1.ErrTransferCoding):
-		return c.reject(501, err.Error(), closeRejected)
+		return c.rejectInvalid(501, err.Error(), closeRejected)
 	case errors.Is(err, h1.ErrVersion):
-		return c.reject(505, err.Error(), closeRejected)
+		return c.rejectInvalid(505, err.Error(), closeRejected)
 	case errors.Is(err, h1.ErrMalformed):
-		return c.reject(400, err.Error(), closeRejected)
+		return c.rejectInvalid(400, err.Error(), closeRejected)
 	case back.IsTimeout(err):
-		return c.reject(408, "the request took too long to arrive", closeRejected)
+		return c.rejectInvalid(408, "the request took too long to arrive", closeRejected)
 	}
 	c.clientGone.Store(true) // the connection failed
 	return false
@@ -104,13 +110,13 @@
 	}
 	var rejected rejection
 	if errors.As(err, &rejected) {
-		return c.reject(rejected.status, rejected.text, required)
+		return c.rejectInvalid(rejected.status, rejected.text, required)
 	}
 	if s.tooLong(h.BodyLength) {
-		return c.reject(413, "the body is too long", closeRejected)
+		return c.rejectInvalid(413, "the body is too long", closeRejected)
 	}
 	if err := c.claimID(x); err != nil {
-		return c.reject(409, err.Error(), required)
+		return c.rejectInvalid(409, err.Error(), required)
 	}
 	defer c.settleID()
 	x.limitMs = params.LimitMs
@@ -128,7 +134,7 @@
 		return false
 	}
 	if s.Protocol.MaxBodyBytes > 0 && !x.bodyRetained {
-		return c.reject(413, "the body is too long", closeRejected)
+		return c.rejectInvalid(413, "the body is too long", closeRejected)
 	}
 	x.acceptsTrailers = h1.ListsToken(h.Header["Te"], "trailers")
 	h.RemoveHopByHop()
--- a/internal/h1/h1.go
+++ b/internal/h1/h1.go
@@ -67,10 +67,34 @@
 type Reader struct {
 	*bufio.Reader
 	Memory *membudget.Budget // for heads and trailers; nil: no limit
+	source *countingReader
+}
+
+// countingReader counts the bytes that are read.
+type countingReader struct {
+	io.Reader
+	count int64
+}
+
+// Read implements io.Reader.
+func (r *countingReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	r.count += int64(n)
+	return n, err
 }
 
 // NewReader returns a Reader of the messages on r, with a buffer of size bytes.
-func NewReader(r io.Reader, size int) *Reader { return &Reader{Reader: bufio.NewReaderSize(r, size)} }
+func NewReader(r io.Reader, size int) *Reader {
+	source := &countingReader{Reader: r}
+	return &Reader{Reader: bufio.NewReaderSize(source, size), source: source}
+}
+
+// consumed returns how many bytes have been read, without those that are buffered.
+func (r *Reader) consumed() int64 { return r.source.count - int64(r.Buffered()) }
+
+// maxEmptyLineBytes bounds the empty lines that are ignored before a request: a client that sends nothing else is not
+// waited for.
+const maxEmptyLineBytes = 16
 
 // readHead reads the first line and the header of a message.
 func (r *Reader) readHead(l Limits) (line string, header textproto.MIMEHeader, memory membudget.Reservation, err error) {
@@ -84,7 +108,7 @@
 
 // Request reads the head of a request.
 func (r *Reader) Request(l Limits) (*Head, error) {
-	for { // empty lines before a request are ignored (RFC 9112, 2.2)
+	for skipped := 0; ; skipped++ { // empty lines before a request are ignored (RFC 9112, 2.2)
 		b, err := r.Peek(1)
 		if err != nil {
 			return nil, err
@@ -92,6 +116,9 @@
 		if b[0] != '\r' && b[0] != '\n' {
 			break
 		}
+		if skipped == maxEmptyLineBytes {
+			return nil, malformedErr("too many empty lines before a request")
+		}
 		r.Discard(1)
 	}
 	line, header, memory, err := r.readHead(l)
@@ -266,6 +293,8 @@
 	limits    Limits
 	chunked   io.Reader // nil for a body of another kind
 	remaining int64     // bytes; UntilClose: until the connection closes
+	start     int64     // what the Reader had consumed when the body began
+	content   int64     // bytes of content that were read
 	err       error
 
 	Trailers textproto.MIMEHeader // the allowed ones, nil for none
@@ -274,7 +303,7 @@
 
 // Body returns the body of the message with head h.
 func (r *Reader) Body(h *Head, l Limits) *Body {
-	b := &Body{r: r, remaining: h.BodyLength, limits: l}
+	b := &Body{r: r, remaining: h.BodyLength, limits: l, start: r.consumed()}
 	if h.BodyLength == Chunked {
 		b.chunked = httputil.NewChunkedReader(r.Reader)
 	}
@@ -313,9 +342,13 @@
 		}
 	}
 	b.err = err
+	b.content += int64(n)
 	return n, err
 }
 
+// FramingBytes returns how many bytes of the body's framing have been read so far, such as sizes of chunks.
+func (b *Body) FramingBytes() int64 { return b.r.consumed() - b.start - b.content }
+
 // isConnErr reports whether an error of the chunked reader comes from the connection and not from the encoding: only errors
 // of the network have a Timeout method.
 func isConnErr(err error) bool {
--- a/internal/h1/h1_test.go
+++ b/internal/h1/h1_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -105,3 +106,39 @@
 	}
 	return len(p), nil
 }
+
+// Some empty lines before a request are ignored; a client that sends nothing else is rejected, since its lines would be read
+// without end.
+func TestEmptyLinesBeforeRequest(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+	if _, err := NewReader(strings.NewReader(strings.Repeat("\r\n", maxEmptyLineBytes/2)+request), 64).Request(limits); err != nil {
+		t.Errorf("%d bytes of empty lines: %v", maxEmptyLineBytes, err)
+	}
+	for _, lines := range []io.Reader{strings.NewReader(strings.Repeat("\n", maxEmptyLineBytes+1) + request), repeatReader('\n')} {
+		if _, err := NewReader(lines, 64).Request(limits); !errors.Is(err, ErrMalformed) {
+			t.Errorf("more empty lines: %v; want %v", err, ErrMalformed)
+		}
+	}
+}
+
+// The framing of a body counts what is neither content nor a later message.
+func TestFramingBytes(t *testing.T) {
+	const head = "POST / HTTP/1.1\r\nHost: x\r\n"
+	for text, want := range map[string]int64{
+		"Content-Length: 3\r\n\r\nabcGET":                                           0,
+		"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\nGET":                10,
+		"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n1\r\nb\r\n1\r\nc\r\n0\r\n\r\n": 20,
+	} {
+		for _, size := range []int{16, 4096} {
+			r := NewReader(strings.NewReader(head+text), size)
+			h, err := r.Request(limits)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body := r.Body(h, limits)
+			if content, err := io.ReadAll(body); string(content) != "abc" || err != nil || body.FramingBytes() != want {
+				t.Errorf("%q: content %q, %d bytes of framing, error %v; want %d", text, content, body.FramingBytes(), err, want)
+			}
+		}
+	}
+}
--- a/internal/h1/head.go
+++ b/internal/h1/head.go
@@ -30,7 +30,9 @@
 	raw      []byte
 	lines    int // complete ones, with the first line and without the blank one
 	complete bool
-	memory   membudget.Reservation // of raw, once it is not in the Reader's buffer any more
+
+	firstLineChecked bool
+	memory           membudget.Reservation // of raw, once it is not in the Reader's buffer any more
 }
 
 // readSection collects a section. It fails as soon as the section can't become valid or exceeds a limit.
@@ -127,12 +129,13 @@
 		return nil
 	case len(bytes.TrimSuffix(firstLine, []byte("\r"))) > s.limits.LineBytes:
 		return ErrTooLarge
-	case ended && len(bytes.TrimSuffix(firstLine, []byte("\r"))) == 0:
+	case !ended || s.firstLineChecked:
+		return nil
+	case len(bytes.TrimSuffix(firstLine, []byte("\r"))) == 0:
 		return malformedErr("an empty first line")
-	case ended:
-		return checkText(bytes.TrimSuffix(firstLine, []byte("\r")), "the first line")
 	}
-	return nil
+	s.firstLineChecked = true
+	return checkText(bytes.TrimSuffix(firstLine, []byte("\r")), "the first line")
 }
 
 // checkText fails if a text has a control character.
--- /dev/null
+++ b/internal/pace/pace.go
@@ -0,0 +1,39 @@
+// Package pace spreads requests that cost processor time and earn nothing over time. Go polls the network only when no
+// goroutine can run, so connections whose input never ends would keep all others waiting.
+package pace
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// turnInterval is the time between two turns: a thousand requests a second that are rejected or not due yet take a
+	// small part of one core.
+	turnInterval = time.Millisecond
+	// maxWait bounds the wait for a turn. A connection waits for one turn at a time, so hundreds of them wait for less;
+	// a rejected client is owed an answer within 3 s.
+	maxWait = time.Second
+)
+
+// Pacer gives out turns, one each turnInterval, in the order in which they are asked for. The zero value is ready for
+// use. Its methods may be called from any goroutine.
+type Pacer struct {
+	mu   sync.Mutex
+	next time.Time // when the next turn is free
+}
+
+// Reserve takes a turn and returns how long to wait for it: not at all if no turn was taken recently, and maxWait at most.
+func (p *Pacer) Reserve(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.next.Before(now) {
+		p.next = now
+	}
+	wait := p.next.Sub(now)
+	if wait >= maxWait {
+		return maxWait
+	}
+	p.next = p.next.Add(turnInterval)
+	return wait
+}
