Nothing is sent on for clients that left behind unread requests, or reset

Seen: a client that sent many requests at once and closed had one after another sent to a node, 0.4 and 0.8 s after its close with a node that takes 0.4 s. After a stop of the process 100 of 100 clients' requests that were reset behind a further request were dispatched, and 5 of 100 that were reset without one.

Cause: the check before a write looked for the end of the stream where the next byte is (back.AtEOF). An unread byte hid the end behind it, and a reset, which is an error there, counted as no end. The reader stops at the next request's first byte while an answer is pending, so it sees neither. The node's log has those requests right behind the answer before them, which rules out a late write.

Change: back.StateOfPeer asks the kernel for the connection's state where something is unread. The receive buffer is bounded, and a client with over 64 KiB unread, whose close may be held up behind data, gets 400. Where nothing is unread, as with clients that wait, the check costs what it did.

--- a/internal/back/socket.go
+++ b/internal/back/socket.go
@@ -7,6 +7,8 @@
 	"net"
 	"os"
 	"syscall"
+
+	"arrowcleat/internal/tcpstate"
 )
 
 // peek looks for a received byte on a socket, without blocking and without consuming it.
@@ -47,13 +49,52 @@
 	return unread
 }
 
-// AtEOF reports whether the peer has closed its sending side and all that it sent has been read.
-func AtEOF(nc net.Conn) (atEOF bool) {
+// ReceiveBufferBytes bounds what the kernel holds of a client that sends faster than it is read: a whole request, and about
+// as much again for the kernel's own records.
+const ReceiveBufferBytes = 128 << 10
+
+// maxSentAhead is how much a peer may have sent that is not read yet. It is so far below ReceiveBufferBytes that the end of
+// the stream, if the peer has sent it, is not held up behind data for which the buffer has no room.
+const maxSentAhead = ReceiveBufferBytes / 2
+
+// PeerState says whether the peer of a connection is still there.
+type PeerState int
+
+const (
+	// PeerOpen is the state of a peer that has not closed the connection.
+	PeerOpen PeerState = iota
+	// PeerClosed is the state of a peer that has closed the connection or its sending side, or reset it.
+	PeerClosed
+	// PeerAhead is the state of a peer that has so much unread that its close might not be seen.
+	PeerAhead
+)
+
+// StateOfPeer returns the state of a connection's peer, also where what the peer sent before its close has not been read.
+func StateOfPeer(nc net.Conn) PeerState {
+	n, err, looked := 0, error(nil), false
 	onSocket(nc, func(fd uintptr) {
-		n, err := peek(fd)
-		atEOF = n == 0 && err == nil
+		n, err = peek(fd)
+		looked = true
 	})
-	return atEOF
+	switch {
+	case n > 0:
+		return stateBehindUnread(nc)
+	case looked && (err == nil || IsDisconnect(err)):
+		return PeerClosed
+	default:
+		return PeerOpen
+	}
+}
+
+// stateBehindUnread does the same as StateOfPeer for a connection with unread data.
+func stateBehindUnread(nc net.Conn) PeerState {
+	if state, err := tcpstate.Of(nc); err == nil && state.PeerClosed() {
+		return PeerClosed
+	}
+	if unread, err := tcpstate.UnreadBytes(nc); err == nil && unread > maxSentAhead {
+		return PeerAhead
+	}
+	return PeerOpen
 }
 
 // IsTimeout reports whether an error means that a deadline passed, of a connection or a context. The kernel's ETIMEDOUT
--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -112,6 +112,9 @@
 	c := &conn{server: s, nc: nc, lifecycle: newLifecycle(nc, now, s.Clock.Now()), listener: listener,
 		reader: reader, requests: make(chan *request, 1), bodyRead: make(chan struct{}, 1),
 		commands: make(chan command, 16)}
+	if t, ok := nc.(*net.TCPConn); ok {
+		t.SetReadBuffer(back.ReceiveBufferBytes) // if the kernel refuses, it keeps its own bound
+	}
 	c.socket, _ = tcpstate.NewSocket(nc) // nil for a connection of another kind
 	c.host, _, _ = splitHost(nc.RemoteAddr().String())
 	if s.Protocol.FirstRequestTimeoutMs > 0 {
@@ -229,5 +232,5 @@
 
 // giveWay makes an idle connection close, unless its next request has arrived. One whose client has left closes by itself.
 func (c *conn) giveWay() bool {
-	return back.AtEOF(c.nc) || !back.HasUnread(c.nc) && c.lifecycle.evict()
+	return back.StateOfPeer(c.nc) == back.PeerClosed || !back.HasUnread(c.nc) && c.lifecycle.evict()
 }
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -163,7 +163,7 @@
 		return errCapLowered
 	case !time.Now().Before(writeDeadline):
 		return errTooLate
-	case back.AtEOF(x.conn.nc) && !faults.IgnoreClientGone: // the reader goroutine has not run since and does not know yet
+	case back.StateOfPeer(x.conn.nc) != back.PeerOpen && !faults.IgnoreClientGone: // the reader goroutine has not run since and does not know yet
 		x.conn.noteClientGone()
 		return errClientGone
 	}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -115,6 +115,9 @@
 	if s.tooLong(h.BodyLength) {
 		return c.rejectInvalid(413, "the body is too long", closeRejected)
 	}
+	if c.reader.Buffered() > 0 && h.BodyLength == 0 && back.StateOfPeer(c.nc) == back.PeerAhead {
+		return c.rejectInvalid(400, "too much was sent ahead of the answer", required)
+	}
 	if err := c.claimID(x); err != nil {
 		return c.rejectInvalid(409, err.Error(), required)
 	}
--- a/internal/tcpstate/tcpstate.go
+++ b/internal/tcpstate/tcpstate.go
@@ -16,10 +16,22 @@
 // The states that matter once the peer has closed the connection.
 const (
 	Established State = 1
+	TimeWait    State = 6
 	Close       State = 7 // reset, or closed on both sides
 	CloseWait   State = 8 // the peer has sent its FIN
+	LastAck     State = 9
+	Closing     State = 11
 )
 
+// PeerClosed reports whether the peer has closed the connection or its sending side, or whether it was reset.
+func (s State) PeerClosed() bool {
+	switch s {
+	case TimeWait, Close, CloseWait, LastAck, Closing:
+		return true
+	}
+	return false
+}
+
 // Of returns the state of a connection. It fails if nc is not a TCP connection or is closed, or if the kernel refuses.
 func Of(nc net.Conn) (State, error) {
 	socket, err := NewSocket(nc)
@@ -33,6 +45,22 @@
 	return State(info.State), nil
 }
 
+// UnreadBytes returns how many bytes of the peer are in this machine's socket and have not been read.
+func UnreadBytes(nc net.Conn) (int, error) {
+	socket, err := NewSocket(nc)
+	if err != nil {
+		return 0, err
+	}
+	unread, ioctlErr := 0, error(nil)
+	if err := socket.raw.Control(func(fd uintptr) { unread, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCINQ) }); err != nil {
+		return 0, err
+	}
+	if ioctlErr != nil {
+		return 0, fmt.Errorf("SIOCINQ: %w", ioctlErr)
+	}
+	return unread, nil
+}
+
 // Socket reads the state of one connection, again and again. It is not safe for concurrent use.
 type Socket struct {
 	raw  syscall.RawConn
