The unread rest of a request's own body does not count as sent ahead

Change: only what is unread behind a body that is held counts, and the receive buffer is bounded only where bodies are. On the platform nothing changes, since all bodies are held there.

--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -112,7 +112,7 @@
 	c := &conn{server: s, nc: nc, lifecycle: newLifecycle(nc, now, s.Clock.Now()), listener: listener,
 		reader: reader, requests: make(chan *request, 1), bodyRead: make(chan struct{}, 1),
 		commands: make(chan command, 16)}
-	if t, ok := nc.(*net.TCPConn); ok {
+	if t, ok := nc.(*net.TCPConn); ok && s.Protocol.MaxBodyBytes > 0 { // bodies that are streamed may need more
 		t.SetReadBuffer(back.ReceiveBufferBytes) // if the kernel refuses, it keeps its own bound
 	}
 	c.socket, _ = tcpstate.NewSocket(nc) // nil for a connection of another kind
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -163,13 +163,25 @@
 		return errCapLowered
 	case !time.Now().Before(writeDeadline):
 		return errTooLate
-	case back.StateOfPeer(x.conn.nc) != back.PeerOpen && !faults.IgnoreClientGone: // the reader goroutine has not run since and does not know yet
+	case x.clientLeft() && !faults.IgnoreClientGone: // the reader goroutine has not run since and does not know yet
 		x.conn.noteClientGone()
 		return errClientGone
 	}
 	return nil
 }
 
+// clientLeft reports whether the client has left, or has sent so much beyond its request that this can't be known.
+func (x *exchange) clientLeft() bool {
+	switch back.StateOfPeer(x.conn.nc) {
+	case back.PeerClosed:
+		return true
+	case back.PeerAhead:
+		return x.bodyRetained // else what is unread is the request's own body
+	default:
+		return false
+	}
+}
+
 // writeRequest writes the request to a node, and streams the part of the body that is not retained.
 func (x *exchange) writeRequest(nodeConn *back.Conn, outcome *back.DispatchOutcome) (int64, error) {
 	h := x.head
