Turns: no race with the reader or the start, and no way past them

Change: the reader says what came right behind a request, and takes a turn for it whatever the answer's state. The pacer ends its own waits. A request that took too long to arrive (408) gets its answer without a turn: hundreds of them at once must be answered within 3 s of connecting.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -47,6 +47,7 @@
 	head    *h1.Head
 	startMs float64 // when it arrived; see conn.arrivalMs
 	err     error   // why there is no head
+	isAhead bool    // something came right behind it, though it has no body
 }
 
 // release gives back the memory of a request that has been processed.
@@ -60,13 +61,14 @@
 func (c *conn) readLoop() {
 	defer c.server.wg.Done()
 	defer close(c.requests)
+	isAhead := false // something came right behind the previous request
 	for {
 		startMs, early, ok := c.awaitRequest()
 		if !ok {
 			return
 		}
-		if early { // a client that does not wait for answers never runs out of requests
-			c.awaitTurn()
+		if early || isAhead { // a client that does not wait for answers never runs out of requests
+			c.server.pacer.Wait()
 		}
 		c.setReadDeadline(c.server.CurrentSettings().Times.HeaderMs)
 		h, err := c.reader.Request(c.server.limits)
@@ -82,12 +84,14 @@
 		if !hasBody {
 			c.lifecycle.requestComplete()
 		}
-		c.requests <- &request{head: h, startMs: startMs}
+		isAhead = !hasBody && c.reader.Buffered() > 0
+		c.requests <- &request{head: h, startMs: startMs, isAhead: isAhead}
 		if hasBody {
 			if _, ok := <-c.bodyRead; !ok {
 				return
 			}
 			c.lifecycle.requestComplete()
+			isAhead = c.reader.Buffered() > 0
 		}
 	}
 }
@@ -111,19 +115,6 @@
 	return 0, false, false
 }
 
-// awaitTurn waits for a turn among the connections that do what could take all of the processor: they send requests that are
-// rejected, or more before the last has its answer.
-func (c *conn) awaitTurn() {
-	wait := c.server.pacer.Reserve(time.Now())
-	if wait <= 0 {
-		return
-	}
-	select {
-	case <-time.After(wait):
-	case <-c.server.hurry:
-	}
-}
-
 // arrivalMs returns the clock's time at which the data that has just been read arrived at this machine. Until it was read it
 // may have waited in the accept queue, or because the process was not scheduled: that time is the client's too. Where the
 // kernel does not know, it is the current time.
@@ -286,7 +277,7 @@
 			if _, err := io.CopyN(io.Discard, c.nc, lingerTurnBytes); err != nil {
 				return
 			}
-			c.awaitTurn()
+			c.server.pacer.Wait()
 		}
 	}
 }
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -308,7 +308,7 @@
 func (x *exchange) paceFraming() {
 	if framing := x.body.FramingBytes(); framing > freeFramingBytes+x.pacedFraming {
 		x.pacedFraming = framing - freeFramingBytes + framingTurnBytes
-		x.conn.awaitTurn()
+		x.conn.server.pacer.Wait()
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -68,11 +68,9 @@
 	stopping         atomic.Bool    // no new connections and invocations are accepted
 	killed           atomic.Bool    // no connection is accepted any more, not even those in the kernel's accept queue
 	aborted          atomic.Bool    // nothing is waited for any more
-	hurry            chan struct{}  // closed once aborted or killed is set
-	hurryOnce        sync.Once
-	viaField         string // this marshal's entry in the Via header
+	viaField         string         // this marshal's entry in the Via header
 	limits           h1.Limits
-	pacer            pace.Pacer
+	pacer            pace.Pacer // turns of connections whose requests are rejected, or come before the answer to the last
 	headerNames      headerNames
 	Counters         Counters
 	Faults           InjectedFaults
@@ -176,7 +174,6 @@
 func (s *Server) initServing(listeners []Listener) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hurry = make(chan struct{})
 	s.listeners, s.conns, s.coreConnections = listeners, map[*conn]bool{}, make([]atomic.Int64, len(s.Loops))
 	s.openListeners = len(listeners)
 	s.wg.Add(len(listeners)) // waiting for the connections includes those that listeners may still accept
@@ -256,7 +253,7 @@
 	case <-time.After(timeout):
 	}
 	s.killed.Store(true)
-	s.skipTurns()
+	s.pacer.End()
 	s.mu.Lock()
 	for c := range s.conns {
 		c.closeSocket(closeForced)
@@ -270,7 +267,7 @@
 func (s *Server) Abort() {
 	s.Stop()
 	s.aborted.Store(true)
-	s.skipTurns()
+	s.pacer.End()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -282,7 +279,7 @@
 // Kill closes every socket at once, as if the process had ended.
 func (s *Server) Kill() {
 	s.killed.Store(true)
-	s.skipTurns()
+	s.pacer.End()
 	s.Stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -295,15 +292,6 @@
 	}
 }
 
-// skipTurns ends all waits for a turn.
-func (s *Server) skipTurns() {
-	s.hurryOnce.Do(func() {
-		if s.hurry != nil {
-			close(s.hurry)
-		}
-	})
-}
-
 // remove unregisters a closed connection.
 func (s *Server) remove(c *conn) {
 	s.mu.Lock()
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -50,7 +50,7 @@
 
 // rejectInvalid answers a request that is the client's error. The client may send the same again at once, so it waits its turn.
 func (c *conn) rejectInvalid(status int, text string, required closeReason) (keepAlive bool) {
-	c.awaitTurn()
+	c.server.pacer.Wait()
 	return c.reject(status, text, required)
 }
 
@@ -79,7 +79,7 @@
 	case errors.Is(err, h1.ErrMalformed):
 		return c.rejectInvalid(400, err.Error(), closeRejected)
 	case back.IsTimeout(err):
-		return c.rejectInvalid(408, "the request took too long to arrive", closeRejected)
+		return c.reject(408, "the request took too long to arrive", closeRejected) // after its time, which is no flood
 	}
 	c.clientGone.Store(true) // the connection failed
 	return false
@@ -115,7 +115,7 @@
 	if s.tooLong(h.BodyLength) {
 		return c.rejectInvalid(413, "the body is too long", closeRejected)
 	}
-	if c.reader.Buffered() > 0 && h.BodyLength == 0 && back.StateOfPeer(c.nc) == back.PeerAhead {
+	if req.isAhead && back.StateOfPeer(c.nc) == back.PeerAhead {
 		return c.rejectInvalid(400, "too much was sent ahead of the answer", required)
 	}
 	if err := c.claimID(x); err != nil {
